SIGHUP reads the configuration anew and moves watch, fetch and notices to its discovery

At fault: main.cpp blocked and took only SIGTERM and SIGINT, and did so only after the relay had been built; Discovery and Notices kept the address they were made with.

Now the three signals are blocked before anything else starts. A reload parses and checks the whole file; a bad one is logged and changes nothing; changed keys that need a restart are logged by path. The list starts anew without 'since', since another discovery need not go on with the old one's numbers. A notice that is out is sent once more.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <set>
+#include <string_view>
 
 #include "config/settings.h"
 #include "net/address.h"
@@ -90,10 +92,14 @@
   } catch (const FieldError& error) { throw FieldError(std::string("key 'settings': ") + error.what()); }
   if (const json* known = Find(file, "known")) config.known = *known;
   FillLimits(file, config);
+  config.file = file;
+  for (const char* key : {"known", "seed"}) config.file.erase(key);
   return config;
 }
 
-Config Load(const Environment& environment) {
+namespace {
+
+json ReadFile(const Environment& environment) {
   const auto path = environment("EDGE_CONFIG");
   if (!path) throw FieldError("the variable EDGE_CONFIG is missing: it names the configuration's file");
   std::ifstream stream(*path);
@@ -104,7 +110,29 @@
   } catch (const json::parse_error& error) {
     throw FieldError("the configuration is no JSON at byte " + std::to_string(error.byte));
   }
-  return Parse(file, environment);
+  return file;
+}
+
+}  // namespace
+
+Config Load(const Environment& environment) { return Parse(ReadFile(environment), environment); }
+
+Config Reload(const Environment& environment) {
+  const json file = ReadFile(environment);
+  const bool names_discovery = file.is_object() && Find(file, "discovery") != nullptr;
+  return Parse(file, [&](const char* name) {
+    const bool hidden = names_discovery && std::string_view(name) == "EDGE_DISCOVERY";
+    return hidden ? std::nullopt : environment(name);
+  });
+}
+
+std::vector<std::string> KeysForRestart(const Config& old, const Config& fresh) {
+  std::set<std::string> keys;
+  for (const json& step : json::diff(old.file, fresh.file)) {
+    const auto path = step.at("path").get<std::string>();
+    if (path != "/discovery") keys.insert(path);
+  }
+  return {keys.begin(), keys.end()};
 }
 
 }  // namespace opalroute::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -26,6 +26,7 @@
   std::vector<std::string> classes, tenants, zones, kinds;  // names, in the settings' order
   nlohmann::json known;                                     // the list as it was last held, or null
   Limits limits;
+  nlohmann::json file;  // what was read, but for `known` and `seed`, which serve a start alone
 };
 
 namespace config {
@@ -37,5 +38,11 @@
 Config Load(const Environment& environment);
 Config Parse(const nlohmann::json& file, const Environment& environment);
 
+// Reads and checks the file anew. EDGE_DISCOVERY is as old as the process: here the file stands over it.
+Config Reload(const Environment& environment);
+
+// The keys, by their paths, that differ and take effect only with a restart.
+std::vector<std::string> KeysForRestart(const Config& old, const Config& fresh);
+
 }  // namespace config
 }  // namespace opalroute
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,10 +5,14 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <optional>
 #include <string>
+#include <system_error>
+#include <utility>
 
 #include "config/config.h"
 #include "net/address.h"
@@ -17,30 +21,38 @@
 
 namespace {
 
-class StopSignals : public opalroute::net::EventHandler {
+// Danger: a signal that comes before they are blocked ends the process, and SIGHUP means no such thing.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, number);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+class Signals : public opalroute::net::EventHandler {
  public:
-  StopSignals(opalroute::net::EventLoop& loop, opalroute::Relay& relay) : loop_(loop), relay_(relay) {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
-    fd_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    loop_.Add(fd_, this);
+  Signals(opalroute::net::EventLoop& loop, const sigset_t& signals, std::function<void()> stop,
+          std::function<void()> reload)
+      : loop_(loop),
+        stop_(std::move(stop)),
+        reload_(std::move(reload)),
+        fd_(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC)) {
+    if (fd_ < 0 || !loop_.Add(fd_, this)) throw std::system_error(errno, std::generic_category(), "signalfd");
   }
-  ~StopSignals() override {
+  ~Signals() override {
     loop_.Remove(fd_);
     close(fd_);
   }
   void OnEvents(std::uint32_t) override {
     signalfd_siginfo info;
-    while (read(fd_, &info, sizeof(info)) == sizeof(info)) relay_.Stop([this] { loop_.Stop(); });
+    while (read(fd_, &info, sizeof(info)) == sizeof(info)) (info.ssi_signo == SIGHUP ? reload_ : stop_)();
   }
 
  private:
   opalroute::net::EventLoop& loop_;
-  opalroute::Relay& relay_;
-  int fd_ = -1;
+  std::function<void()> stop_, reload_;
+  int fd_;
 };
 
 std::optional<std::string> Variable(const char* name) {
@@ -55,12 +67,15 @@
   spdlog::set_default_logger(spdlog::stdout_logger_st("opalroute"));
   spdlog::flush_on(spdlog::level::info);
   signal(SIGPIPE, SIG_IGN);
+  const sigset_t blocked = BlockSignals();
   try {
     const opalroute::Config config = opalroute::config::Load(Variable);
     const opalroute::net::SystemClock clock;
     opalroute::net::EventLoop loop(clock);
     opalroute::Relay relay(loop, config);
-    StopSignals signals(loop, relay);
+    const Signals signals(
+        loop, blocked, [&] { relay.Stop([&] { loop.Stop(); }); },
+        [&] { relay.Reload([] { return opalroute::config::Reload(Variable); }); });
     spdlog::info("{} listens on {}", config.name, opalroute::net::FormatAddress(relay.address()));
     loop.Run();
     spdlog::info("counters {}", relay.counters().Print());
--- a/src/pool/discovery.cpp
+++ b/src/pool/discovery.cpp
@@ -82,6 +82,16 @@
   Expect(watch_ ? limits_.list_time : 0);
 }
 
+void Discovery::MoveTo(const sockaddr_in& address) {
+  const bool watching = watch_ != nullptr;
+  if (fetching_) client_.Abandon(*this);
+  client_.CloseIdle(address_);
+  address_ = address;
+  generation_.reset();
+  if (watching) Watch(true);
+  if (fetching_) client_.Start(address_, *this);
+}
+
 void Discovery::Expect(double within) {
   loop_.Cancel(watch_timer_);
   watch_timer_ = loop_.At(loop_.Now() + within, [this] {
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -24,6 +24,9 @@
   void Watch(bool on) override;
   void Fetch() override;
 
+  // From now on discovery is there; what is asked for is asked again. Its list need not continue the old one.
+  void MoveTo(const sockaddr_in& address);
+
   // One list or line of changes in discovery's form. None: it can't be read; the reason is logged.
   std::optional<PoolNews> Read(std::string_view text);
   std::optional<PoolNews> ReadList(const nlohmann::json& list);
--- a/src/relay/counters.h
+++ b/src/relay/counters.h
@@ -13,7 +13,7 @@
   long served = 0, errors = 0, full = 0, timeouts = 0, connect_failed = 0, resets = 0, cancelled = 0,
        not_sent = 0;
   long delivered = 0, given_up = 0, handed_back = 0, notices_arrived = 0;
-  long pool_news = 0, pool_failures = 0, journal_failures = 0;
+  long pool_news = 0, pool_failures = 0, journal_failures = 0, reloads = 0, reload_failures = 0;
 
   std::string Print() const {
     const nlohmann::ordered_json out = {{"requests", requests},
@@ -42,7 +42,9 @@
                                         {"notices_arrived", notices_arrived},
                                         {"pool_news", pool_news},
                                         {"pool_failures", pool_failures},
-                                        {"journal_failures", journal_failures}};
+                                        {"journal_failures", journal_failures},
+                                        {"reloads", reloads},
+                                        {"reload_failures", reload_failures}};
     return out.dump();
   }
 };
--- a/src/relay/notices.cpp
+++ b/src/relay/notices.cpp
@@ -23,6 +23,18 @@
   if (!sending_ && retry_ == 0) Send();
 }
 
+// What is out may have arrived: a notice about a message that is over does no harm.
+void Notices::MoveTo(const sockaddr_in& to) {
+  if (sending_) client_.Abandon(*this);
+  client_.CloseIdle(to_);
+  to_ = to;
+  loop_.Cancel(timer_);
+  loop_.Cancel(retry_);
+  sending_ = false;
+  backoff_ = 0;
+  Send();
+}
+
 void Notices::Send() {
   if (waiting_.empty()) return;
   sending_ = true;
--- a/src/relay/notices.h
+++ b/src/relay/notices.h
@@ -21,6 +21,7 @@
   ~Notices() override;
 
   void Add(const std::string& id, const std::string& line);
+  void MoveTo(const sockaddr_in& to);  // what has not arrived goes there, at once
   bool empty() const { return waiting_.empty(); }
 
  private:
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -65,6 +65,7 @@
                  if (!journal_.End(id)) ++counters_.journal_failures;
                  CheckStopped();
                }),
+      discovery_at_(config.discovery),
       server_(loop, config, counters_, *this) {
   if (config.peer_listen) {
     peers_ = std::make_unique<net::DatagramSocket>(
@@ -135,6 +136,24 @@
   Post(std::move(update));
 }
 
+void Relay::Reload(const std::function<Config()>& read) {
+  try {
+    const Config fresh = read();
+    ++counters_.reloads;
+    for (const std::string& key : config::KeysForRestart(config_, fresh))
+      spdlog::warn("reload: {} has changed, which takes effect with the next start", key);
+    const std::string from = net::FormatAddress(discovery_at_), to = net::FormatAddress(fresh.discovery);
+    if (from == to) return spdlog::info("reload: discovery stays at {}", from);
+    spdlog::info("reload: discovery moves from {} to {}", from, to);
+    discovery_at_ = fresh.discovery;
+    discovery_.MoveTo(fresh.discovery);
+    notices_.MoveTo(fresh.discovery);
+  } catch (const std::exception& error) {
+    ++counters_.reload_failures;
+    spdlog::error("reload: the configuration stays as it was: {}", error.what());
+  }
+}
+
 // ---- what an earlier process had taken on ---------------------------------------------------------------
 
 void Relay::Restore() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -34,6 +34,10 @@
   // Finishes what is out and takes nothing more on; `stopped` follows when that is done or time is up.
   void Stop(std::function<void()> stopped);
 
+  // Takes over from a configuration read anew what can change while it runs: where discovery is. If `read`
+  // throws, all stays as it was.
+  void Reload(const std::function<Config()>& read);
+
   sockaddr_in address() { return server_.http().address(); }
   const Counters& counters() const { return counters_; }
 
@@ -97,6 +101,7 @@
   std::unordered_map<std::string, EndpointId> endpoint_ids_;
   std::vector<Endpoint> endpoints_;  // by EndpointId
   std::set<DestinationId> destinations_;
+  sockaddr_in discovery_at_;
   bool list_is_current_ = false;
 
   MessageId last_message_ = 0;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -5,6 +5,8 @@
 //   set /POINTER JSON           changes the configuration
 //   start | kill | stop | ended starts the relay; ends it without a word; SIGTERM; it has ended by itself
 //   tear N                      cuts N bytes off the journal's end
+//   move PLACE                  PLACE listens, and the configuration names it as discovery
+//   reload                      SIGHUP
 //   wait MS                     lets time pass
 //   NAME connect                a client connects
 //   NAME accept PLACE           PLACE (an endpoint's id, or `discovery`) takes a connection
@@ -130,6 +132,10 @@
       relay_->Stop([this] { ended_ = true; });
     } else if (first == "ended") {
       CHECK(Until([this] { return ended_; }));
+    } else if (first == "move") {
+      config_["discovery"] = BoundTo(listeners_[second] = Listen());
+    } else if (first == "reload") {
+      relay_->Reload([this] { return config::Parse(config_, [](const char*) { return std::nullopt; }); });
     } else if (first == "tear") {
       fs::resize_file(state_ / "journal", fs::file_size(state_ / "journal") - std::stoul(second));
     } else if (first == "wait") {
