--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -16,14 +16,23 @@
   int client_connections = 480;
   int reject_connections = 32;  // beyond those: they hear a reject
   int upstream_connections = 400;
-  double request_time = 10;  // for a request that has begun to arrive
-  double client_idle = 120;  // a client's connection between requests
+  double first_time = 2;        // from a client's connecting to the end of its first request
+  double request_time = 2;      // for a further one that has begun to arrive
+  double client_idle = 10;      // a client's connection between requests
+  double client_rest = 2;       // between requests: it may be closed for a newcomer's sake after this
+  double client_silent = 0.05;  // without a byte since it came: so may it after this
+  double client_linger = 0.5;   // after the last answer, for the client to read it
+  std::size_t linger_bytes = 1024 * 1024;  // read off meanwhile
+  int requests_a_turn = 16;                // of one connection
+  int interim_answers = 8;                 // 1xx in front of an endpoint's answer
+  double answer_time = 0.5;                // from an answer's first byte to its last
   double connect_time = 1.5;
   double upstream_idle = 14;  // less than the time after which endpoints close it
   // transactions
   int open_transactions = 0;  // from the settings
   double reject_wait = 0.5;   // told to a client that finds the relay full or going
   double longest_remaining = 3600;
+  double destination_rest = 60;  // without an endpoint, until it counts as none that there is
   // the state folder
   std::size_t disk_bytes = 3'000'000;
   // discovery and notices
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace opalroute::net {
@@ -47,16 +48,23 @@
     owner_.OnOpen(*this);
     if (fd_ < 0) return;
   }
-  if ((events & EPOLLOUT) != 0) Flush();
+  if ((events & EPOLLOUT) != 0 && !out_.empty()) {
+    Flush();
+    if (out_.empty()) owner_.OnWritten(*this);
+  }
   if (fd_ >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) Read();
 }
 
 // Edge-triggered: reads until the socket has no more, or the ring is full and its owner takes nothing.
+// Danger: one who sends at full speed would hold the only thread. After a ring's worth the others have a
+// turn.
 void Connection::Read() {
+  std::size_t left = in_.most();
   while (fd_ >= 0) {
     bool drained = false, reset = false;
-    while (!in_.full() && !drained && !peer_ended_ && !reset) {
+    while (!in_.full() && !drained && !peer_ended_ && !reset && left > 0) {
       const ssize_t count = in_.ReadFrom(fd_);
+      if (count > 0) left -= std::min(left, static_cast<std::size_t>(count));
       if (count == 0) peer_ended_ = true;
       if (count < 0 && errno == EINTR) continue;
       if (count < 0) (errno == EAGAIN ? drained : reset) = true;
@@ -68,6 +76,7 @@
     if (reset) return Finish(End::kReset);
     if (peer_ended_) return Finish(End::kEnded);
     if (drained || (was_full && in_.full())) return;
+    if (left == 0) return loop_.Rearm(fd_, this);
   }
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -21,6 +21,7 @@
     virtual ~Owner() = default;
     virtual void OnOpen(Connection&) {}            // a connection that was asked for is up
     virtual void OnData(Connection&) = 0;          // there is more in in(), or the other side has ended
+    virtual void OnWritten(Connection&) {}         // what had to wait in out() has left
     virtual void OnEnd(Connection&, End how) = 0;  // once, and never after Close
   };
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -31,13 +31,27 @@
   close(epoll_);
 }
 
-bool EventLoop::Add(int fd, EventHandler* handler) {
+namespace {
+
+epoll_event EdgesFor(EventHandler* handler) {
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.ptr = handler;
+  return event;
+}
+
+}  // namespace
+
+bool EventLoop::Add(int fd, EventHandler* handler) {
+  epoll_event event = EdgesFor(handler);
   return epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) == 0;
 }
 
+void EventLoop::Rearm(int fd, EventHandler* handler) {
+  epoll_event event = EdgesFor(handler);
+  epoll_ctl(epoll_, EPOLL_CTL_MOD, fd, &event);
+}
+
 void EventLoop::Remove(int fd) { epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr); }
 
 EventLoop::TimerId EventLoop::At(Seconds when, std::function<void()> due) {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -30,7 +30,8 @@
   const Clock& clock() const { return clock_; }
   Seconds Now() const { return clock_.Now(); }
 
-  bool Add(int fd, EventHandler* handler);  // for reading and writing, edge-triggered
+  bool Add(int fd, EventHandler* handler);    // for reading and writing, edge-triggered
+  void Rearm(int fd, EventHandler* handler);  // raises the edge anew if there still is something to do
   void Remove(int fd);
 
   TimerId At(Seconds when, std::function<void()> due);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -42,6 +42,11 @@
   return error == std::errc() && end == text.data() + text.size();
 }
 
+bool MayBeginAnswer(std::string_view line) {
+  constexpr std::string_view kBegin = "HTTP/1.";
+  return line.substr(0, kBegin.size()) == kBegin.substr(0, line.size());
+}
+
 const char* Reason(int status) {
   switch (status) {
     case 200:
@@ -56,6 +61,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 431:
@@ -82,12 +89,18 @@
   return nullptr;
 }
 
+int HttpMessage::Count(std::string_view name) const {
+  return static_cast<int>(std::count_if(headers.begin(), headers.end(),
+                                        [name](const auto& header) { return SameText(header.first, name); }));
+}
+
 void HttpParser::Reset() {
   state_ = State::kStart;
   message_ = HttpMessage();
   line_.clear();
   head_bytes_ = left_ = 0;
   chunked_ = old_version_ = false;
+  interim_ = 0;
   reject_status_ = 0;
 }
 
@@ -113,8 +126,14 @@
       break;
     }
     line_.append(rest.substr(0, count));
+    if (state_ == State::kStart && kind_ == Kind::kAnswer && !MayBeginAnswer(line_)) {
+      Fail(400);  // noise may never bring a line's end
+      break;
+    }
     if (end == std::string_view::npos) break;
     if (line_.size() < 2 || line_[line_.size() - 2] != '\r') {
+      line_.pop_back();
+      if (state_ == State::kStart && kind_ == Kind::kAnswer) TakeStartLine();  // its status still counts
       Fail(400);  // a bare line feed: two readers could see two messages
       break;
     }
@@ -173,7 +192,10 @@
     version = line.substr(second + 1);
   } else {
     std::size_t status = 0;
-    if (!ParseWhole(line.substr(first + 1, 3), 10, status) || status < 100 || status > 599) return Fail(400);
+    if (!ParseWhole(line.substr(first + 1, 3), 10, status) || status < 100 || status > 599 ||
+        (line.size() > first + 4 && line[first + 4] != ' '))
+      return Fail(400);
+    if (version != "HTTP/1.1" && version != "HTTP/1.0") return Fail(400);
     message_.status = static_cast<int>(status);
   }
   if (version != "HTTP/1.1" && version != "HTTP/1.0") return Fail(400);
@@ -197,11 +219,12 @@
   for (const auto& [name, value] : message_.headers) {
     if (SameText(name, "Content-Length")) {
       std::size_t number = 0;
-      if (!ParseWhole(value, 10, number) || (has_length && number != length)) return Fail(400);
+      if (has_length || !ParseWhole(value, 10, number)) return Fail(400);
       has_length = true;
       length = number;
     } else if (SameText(name, "Transfer-Encoding")) {
-      if (!SameText(value, "chunked") || chunked_) return Fail(501);
+      if (chunked_) return Fail(400);
+      if (!SameText(value, "chunked")) return Fail(501);
       chunked_ = true;
     } else if (SameText(name, "Connection")) {
       if (SameText(value, "close")) message_.keep_alive = false;
@@ -212,7 +235,13 @@
   const int status = message_.status;
   const bool interim = kind_ == Kind::kAnswer && status < 200;
   if (interim || status == 204 || status == 304) {
-    if (interim) return Reset();
+    if (interim) {
+      const int count = interim_ + 1;
+      if (count > bounds_.interim_answers) return Fail(400);
+      Reset();
+      interim_ = count;
+      return;
+    }
     state_ = State::kDone;
   } else if (chunked_) {
     head_bytes_ = 0;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -20,10 +20,12 @@
   bool keep_alive = true;
 
   const std::string* Header(std::string_view name) const;  // whatever its case; the first of that name
+  int Count(std::string_view name) const;
 };
 
 struct HttpBounds {
   std::size_t head_bytes = 0, header_count = 0, body_bytes = 0;
+  int interim_answers = 8;  // in front of an answer
 };
 
 class HttpParser {
@@ -76,6 +78,7 @@
   std::string line_;
   std::size_t head_bytes_ = 0, left_ = 0;
   bool chunked_ = false, old_version_ = false;
+  int interim_ = 0;
   int reject_status_ = 0;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -17,32 +17,30 @@
     SetTimer(b.connect_time);
     return connection_ != nullptr;
   }
+  void Stands(Lines::iterator at) { at_ = at; }
+  Lines::iterator at() const { return at_; }
 
   Place& place() { return place_; }
-  Call* call() { return call_; }
   bool connecting() const { return !up_; }
   bool idle() const { return up_ && call_ == nullptr; }
   Seconds rests_since() const { return rests_since_; }
-  bool written() const { return connection_->out().empty(); }
-  // Danger: an end that has arrived but was not read yet would make the next request a reset.
+  Abandoned state() { return {connection_->out().empty(), parser_.message().status}; }
+  // Danger: an end, or bytes that nobody asked for, may have arrived and not been read yet. The next request
+  // would end as a reset, or take them for its answer.
   bool SeemsAlive() const { return connection_->SeemsAlive(); }
 
-  // True if the call took the connection.
-  bool Serve(Call& call) {
+  void Serve(Call& call) {
     const std::string request = call.OnReady();
-    if (request.empty()) return false;
+    if (request.empty()) return;
     client_.loop_.Cancel(timer_);
     call_ = &call;
-    if (!connection_->Write(request)) {
-      call_ = nullptr;
-      call.OnBroken(Broken::kUnwritten, 0);
-      client_.Drop(*this);
-    }
-    return true;
+    call.line_ = this;
+    if (!connection_->Write(request)) Break(Broken::kUnwritten);
   }
 
   void OnOpen(Connection&) override {
     up_ = true;
+    --place_.connecting;
     Rest();
     client_.Serve(place_);
   }
@@ -51,30 +49,36 @@
     RingBuffer& in = connection.in();
     if (call_ == nullptr && !in.empty()) return client_.Drop(*this);  // nobody asked for that
     while (!in.empty() && !parser_.done() && !parser_.failed()) in.Consume(parser_.Take(in.Front()));
-    if (connection.peer_ended() && call_ != nullptr && parser_.begun()) parser_.TakeEnd();
-    if (parser_.failed() && call_ != nullptr) return Break(written() ? Broken::kReset : Broken::kUnwritten);
-    if (!parser_.done() || call_ == nullptr) return;
-    const bool keep = parser_.message().keep_alive && in.empty() && written() && !connection.peer_ended();
+    if (call_ == nullptr) return;
+    if (connection.peer_ended() && parser_.begun()) parser_.TakeEnd();
+    if (parser_.failed()) return Break(state().written ? Broken::kReset : Broken::kUnwritten);
+    if (!parser_.done()) return AwaitRest();
+    const bool keep =
+        parser_.message().keep_alive && in.empty() && state().written && !connection.peer_ended();
     HttpMessage answer = std::move(parser_.message());
     parser_.Reset();
     Call& call = *std::exchange(call_, nullptr);
+    client_.End(call);
     if (keep) {
       Rest();
     } else {
       client_.Drop(*this);
     }
+    Place& place = place_;  // stands until the loop's round is over
     call.OnAnswer(answer);
-    if (keep) client_.Serve(place_);
+    client_.Serve(place);
   }
 
   void OnEnd(Connection&, Connection::End how) override {
     if (!up_) return FailToConnect();
     if (call_ == nullptr) return client_.Drop(*this);
-    Break(how != Connection::End::kNotConnected && written() ? Broken::kReset : Broken::kUnwritten);
+    Break(how != Connection::End::kNotConnected && state().written ? Broken::kReset : Broken::kUnwritten);
   }
 
   void Shut() {
     client_.loop_.Cancel(timer_);
+    if (!up_) --place_.connecting;
+    up_ = true;
     if (connection_) connection_->Close();
   }
 
@@ -82,20 +86,29 @@
   void Break(Broken how) {
     const int status = parser_.message().status;
     Call& call = *std::exchange(call_, nullptr);
+    client_.End(call);
     client_.Drop(*this);
     call.OnBroken(how, status);
   }
 
-  // The call that has waited longest for a connection to this address loses it.
+  // The call that has waited longest for a connection to this peer loses it.
   void FailToConnect() {
     Place& place = place_;
     client_.Drop(*this);
     if (place.waiting.empty()) return;
     Call& call = *place.waiting.front();
     place.waiting.pop_front();
+    client_.End(call);
     call.OnBroken(Broken::kNotConnected, 0);
   }
 
+  // Danger: an answer that never ends would hold its call, and a slot with it, as long as the call may take.
+  // Interim answers begin nothing: the real one may take its time after them.
+  void AwaitRest() {
+    if (!parser_.begun()) return client_.loop_.Cancel(timer_);
+    if (timer_ == 0) SetTimer(client_.bounds_.answer_time);
+  }
+
   void Rest() {
     rests_since_ = client_.loop_.Now();
     SetTimer(client_.bounds_.idle_time);
@@ -106,12 +119,14 @@
     timer_ = client_.loop_.At(client_.loop_.Now() + after, [this] {
       timer_ = 0;
       if (!up_) return FailToConnect();
-      if (call_ == nullptr) client_.Drop(*this);
+      if (call_ != nullptr) return Break(state().written ? Broken::kReset : Broken::kUnwritten);
+      client_.Drop(*this);
     });
   }
 
   HttpClient& client_;
   Place& place_;
+  Lines::iterator at_;
   std::unique_ptr<Connection> connection_;
   HttpParser parser_;
   Call* call_ = nullptr;
@@ -123,35 +138,46 @@
 HttpClient::HttpClient(EventLoop& loop, const ClientBounds& bounds) : loop_(loop), bounds_(bounds) {}
 
 HttpClient::~HttpClient() {
+  loop_.Cancel(sweep_);
   for (auto& [key, place] : places_)
     for (auto& line : place.lines) line->Shut();
 }
 
-HttpClient::Place& HttpClient::PlaceOf(const sockaddr_in& address) {
-  Place& place = places_[{address.sin_addr.s_addr, address.sin_port}];
-  place.address = address;
-  return place;
+HttpClient::Key HttpClient::KeyOf(const Peer& peer) {
+  return {peer.address.sin_addr.s_addr, peer.address.sin_port, peer.number};
+}
+
+void HttpClient::End(Call& call) {
+  call.place_ = nullptr;
+  call.line_ = nullptr;
 }
 
-void HttpClient::Start(const sockaddr_in& to, Call& call) {
-  Place& place = PlaceOf(to);
+void HttpClient::Start(const Peer& to, Call& call) {
+  Place& place = places_[KeyOf(to)];
+  place.address = to.address;
   place.waiting.push_back(&call);
+  call.place_ = &place;
   Serve(place);
-  if (std::find(place.waiting.begin(), place.waiting.end(), &call) == place.waiting.end()) return;
-  const auto coming = std::count_if(place.lines.begin(), place.lines.end(),
-                                    [](const auto& line) { return line->connecting(); });
-  if (static_cast<std::size_t>(coming) >= place.waiting.size()) return;
+  if (call.place_ == nullptr) return;
+  if (static_cast<std::size_t>(place.connecting) >= place.waiting.size()) return;
   // Bounded: a full table gives up an idle connection first, then the call.
   if (connections_ >= bounds_.connections) CloseOneIdle();
   if (connections_ < bounds_.connections && Open(place)) return;
   place.waiting.remove(&call);
-  call.OnBroken(Broken::kNotConnected, 0);
+  End(call);
+  SweepLater();
+  call.OnBroken(Broken::kNoRoom, 0);
 }
 
 bool HttpClient::Open(Place& place) {
   auto line = std::make_unique<Line>(*this, place);
-  if (!line->Open()) return false;
+  ++place.connecting;
+  if (!line->Open()) {
+    line->Shut();
+    return false;
+  }
   place.lines.push_front(std::move(line));
+  place.lines.front()->Stands(place.lines.begin());
   ++connections_;
   ++opened_;
   return true;
@@ -171,35 +197,35 @@
     place.lines.splice(place.lines.begin(), place.lines, free);
     Call& call = *place.waiting.front();
     place.waiting.pop_front();
+    End(call);
     line.Serve(call);
   }
 }
 
-bool HttpClient::Abandon(Call& call) {
-  for (auto& [key, place] : places_) {
-    const auto waits = std::find(place.waiting.begin(), place.waiting.end(), &call);
-    if (waits != place.waiting.end()) {
-      place.waiting.erase(waits);  // a connection that is coming up serves another call, or rests
-      return false;
-    }
-    for (const auto& line : place.lines) {
-      if (line->call() != &call) continue;
-      const bool written = line->written();
-      Drop(*line);
-      return written;
-    }
+HttpClient::Abandoned HttpClient::Abandon(Call& call) {
+  Abandoned state;
+  if (call.place_ != nullptr) {
+    call.place_->waiting.remove(&call);  // a connection that is coming up serves another call, or rests
+    SweepLater();
+  } else if (call.line_ != nullptr) {
+    state = call.line_->state();
+    Drop(*call.line_);
   }
-  return false;
+  End(call);
+  return state;
 }
 
-void HttpClient::CloseIdle(const sockaddr_in& to) {
-  Place& place = PlaceOf(to);
-  for (auto it = place.lines.begin(); it != place.lines.end();) {
+void HttpClient::CloseIdle(const Peer& to) {
+  const auto place = places_.find(KeyOf(to));
+  if (place == places_.end()) return;
+  Lines& lines = place->second.lines;
+  for (auto it = lines.begin(); it != lines.end();) {
     Line& line = **it++;
     if (line.idle()) Drop(line);
   }
 }
 
+// The table is a few hundred connections, and this is asked for only when it is full.
 bool HttpClient::CloseOneIdle() {
   Line* oldest = nullptr;
   for (const auto& [key, place] : places_)
@@ -211,13 +237,25 @@
 }
 
 void HttpClient::Drop(Line& line) {
-  auto& lines = line.place().lines;
-  const auto it = std::find_if(lines.begin(), lines.end(), [&](auto& l) { return l.get() == &line; });
-  if (it == lines.end()) return;
+  Lines& lines = line.place().lines;
+  const auto at = line.at();
   line.Shut();
-  loop_.Retire(std::move(*it));
-  lines.erase(it);
+  loop_.Retire(std::move(*at));
+  lines.erase(at);
   --connections_;
+  SweepLater();
+}
+
+// Peers come and go: what nobody uses any more is forgotten, when no callback can be on its way through it.
+void HttpClient::SweepLater() {
+  if (sweep_ != 0) return;
+  sweep_ = loop_.At(loop_.Now(), [this] {
+    sweep_ = 0;
+    for (auto it = places_.begin(); it != places_.end();) {
+      const Place& place = it->second;
+      it = place.lines.empty() && place.waiting.empty() ? places_.erase(it) : std::next(it);
+    }
+  });
 }
 
 }  // namespace opalroute::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,10 +1,12 @@
 #include "net/http_server.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <iterator>
 #include <system_error>
 #include <utility>
 
@@ -15,29 +17,57 @@
   explicit Client(HttpServer& server, bool rejected)
       : server_(server), rejected_(rejected), parser_(HttpParser::Kind::kRequest, server.bounds_.http) {}
 
-  bool Open(int fd) {
+  bool Open(int fd, Clients::iterator place) {
     const ServerBounds& b = server_.bounds_;
+    place_ = place;
     connection_ =
         Connection::Adopt(server_.loop_, fd, *this, b.http.head_bytes + b.http.body_bytes, b.answer_bytes);
-    Rest();
+    since_ = server_.loop_.Now();
+    SetTimer(b.first_time);
     return connection_ != nullptr;
   }
 
-  bool idle() const { return !parser_.begun() && connection_->in().empty() && connection_->out().empty(); }
-  Seconds rests_since() const { return rests_since_; }
+  Clients::iterator place() const { return place_; }
+  bool answered() const { return answered_; }
+  Seconds since() const { return since_; }  // it was answered last, or else accepted
+  // Danger: a request may lie in the socket unread. Who sent it is owed an answer.
+  bool idle() const {
+    return !parser_.begun() && connection_->in().empty() && connection_->out().empty() && !leaving_ &&
+           connection_->SeemsAlive();
+  }
   void Shut() {
     server_.loop_.Cancel(timer_);
+    server_.loop_.Cancel(again_);
     if (connection_) connection_->Close();
   }
 
-  void OnData(Connection&) override {
-    while (!leaving_) {
-      RingBuffer& in = connection_->in();
+  void OnData(Connection&) override { TakeRequests(); }
+
+  void OnWritten(Connection&) override {
+    if (leaving_) return;
+    TakeRequests();
+    connection_->ReadOn();
+  }
+
+  void OnEnd(Connection&, Connection::End) override {
+    if (ticket_ != 0 && !connection_->out().empty()) server_.handler_.OnAnswerLost(ticket_);
+    server_.Drop(*this);
+  }
+
+ private:
+  void TakeRequests() {
+    RingBuffer& in = connection_->in();
+    for (int taken = 0; !leaving_; ++taken) {
+      if (!connection_->out().empty()) return;  // who does not read its answers brings no more requests
+      if (taken == server_.bounds_.requests_a_turn && !in.empty()) return TakeMoreLater();
       const bool fresh = !parser_.begun();
       while (!in.empty() && !parser_.done() && !parser_.failed()) in.Consume(parser_.Take(in.Front()));
-      if (fresh && parser_.begun()) SetTimer(server_.bounds_.request_time, false);
+      if (fresh && parser_.begun() && answered_) SetTimer(server_.bounds_.request_time);
       if (parser_.head_done() && !parser_.done() && !parser_.failed()) Continue();
-      if (parser_.failed()) return Answer({parser_.reject_status(), {}, {}, 0}, true);
+      if (parser_.failed()) {
+        Answer({parser_.reject_status(), {}, {}, 0}, true);
+        break;
+      }
       if (!parser_.done()) return;
       // Danger: who has left gets no answer and hands its message in again: this one must not be taken on.
       if (connection_->peer_ended()) return;
@@ -46,15 +76,26 @@
       parser_.Reset();
       continued_ = false;
     }
-    connection_->in().Consume(connection_->in().size());
+    ReadOff();
   }
 
-  void OnEnd(Connection&, Connection::End) override {
-    if (ticket_ != 0 && !connection_->out().empty()) server_.handler_.OnAnswerLost(ticket_);
-    server_.Drop(*this);
+  void TakeMoreLater() {
+    if (again_ != 0) return;
+    again_ = server_.loop_.At(server_.loop_.Now(), [this] {
+      again_ = 0;
+      TakeRequests();
+      connection_->ReadOn();
+    });
+  }
+
+  // Danger: a socket that is closed with bytes unread resets the connection, and the answer with it.
+  void ReadOff() {
+    RingBuffer& in = connection_->in();
+    read_off_ += in.size();
+    while (!in.empty()) in.Consume(in.size());
+    if (read_off_ > server_.bounds_.linger_bytes) server_.Drop(*this);
   }
 
- private:
   // Clients that hold a body back until they are told to go on would else wait for a second or so.
   void Continue() {
     const std::string* expect = parser_.message().Header("Expect");
@@ -70,38 +111,33 @@
     Headers headers = answer.headers;
     if (last) headers.emplace_back("Connection", "close");
     ticket_ = answer.ticket;
+    answered_ = true;
+    if (!connection_->Write(WriteAnswer(answer.status, headers, answer.body))) last = true;
     leaving_ = last;
-    if (!connection_->Write(WriteAnswer(answer.status, headers, answer.body))) leaving_ = last = true;
-    if (last) {
-      connection_->CloseWhenWritten();
-      SetTimer(server_.bounds_.request_time, false);
-    } else {
-      Rest();
-    }
-  }
-
-  void Rest() {
-    rests_since_ = server_.loop_.Now();
-    SetTimer(server_.bounds_.idle_time, true);
+    since_ = server_.loop_.Now();
+    if (last) connection_->CloseWhenWritten();
+    SetTimer(last ? server_.bounds_.linger_time : server_.bounds_.idle_time);
   }
 
-  void SetTimer(Seconds after, bool quiet) {
+  void SetTimer(Seconds after) {
     server_.loop_.Cancel(timer_);
-    timer_ = server_.loop_.At(server_.loop_.Now() + after, [this, quiet] {
+    timer_ = server_.loop_.At(server_.loop_.Now() + after, [this] {
       timer_ = 0;
       // A request that was cut short gets its answer; a quiet connection is closed without a word.
-      if (!quiet && !leaving_) return Answer({408, {}, {}, 0}, true);
-      server_.Drop(*this);
+      if (!leaving_ && parser_.begun()) return Answer({408, {}, {}, 0}, true);
+      OnEnd(*connection_, Connection::End::kEnded);
     });
   }
 
   HttpServer& server_;
   const bool rejected_;
+  Clients::iterator place_;
   std::unique_ptr<Connection> connection_;
   HttpParser parser_;
-  EventLoop::TimerId timer_ = 0;
-  Seconds rests_since_ = 0;
-  bool leaving_ = false, continued_ = false;
+  EventLoop::TimerId timer_ = 0, again_ = 0;
+  Seconds since_ = 0;
+  std::size_t read_off_ = 0;
+  bool answered_ = false, leaving_ = false, continued_ = false;
   std::uint64_t ticket_ = 0;
 };
 
@@ -120,6 +156,7 @@
 }
 
 HttpServer::~HttpServer() {
+  loop_.Cancel(accept_timer_);
   for (auto& client : clients_) client->Shut();
   loop_.Remove(fd_);
   close(fd_);
@@ -135,25 +172,59 @@
 void HttpServer::OnEvents(std::uint32_t) { Accept(); }
 
 // Danger: out of descriptors, accept fails and its edge is spent. So the table is bounded well below that:
-// a full one first loses its longest idle connection, then newcomers hear a reject, then they wait.
+// a full one first loses whom it owes nothing, then newcomers hear a reject, then they wait a moment.
 void HttpServer::Accept() {
-  while (connections() < bounds_.connections + bounds_.reject_connections || MakeRoom()) {
+  while (SomebodyWaits()) {
+    const Room room = connections() < bounds_.connections ? Room::kNow : MakeRoom();
+    const bool reject = room == Room::kNone;
+    if (room == Room::kSoon) break;
+    if (reject && connections() >= bounds_.connections + bounds_.reject_connections) break;
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
-    if (fd < 0) return;
-    const bool full = connections() >= bounds_.connections && !MakeRoom();
-    clients_.push_back(std::make_unique<Client>(*this, full));
-    if (!clients_.back()->Open(fd)) Drop(*clients_.back());
+    if (fd < 0) break;
+    clients_.push_back(std::make_unique<Client>(*this, reject));
+    if (!clients_.back()->Open(fd, std::prev(clients_.end()))) Drop(*clients_.back());
   }
+  // Who waits in the queue raises no new edge.
+  if (SomebodyWaits()) AcceptAt(loop_.Now() + bounds_.silent_time / 2);
 }
 
-bool HttpServer::MakeRoom() {
-  Client* oldest = nullptr;
-  for (const auto& client : clients_)
-    if (client->idle() && (oldest == nullptr || client->rests_since() < oldest->rests_since()))
-      oldest = client.get();
-  if (oldest != nullptr) Drop(*oldest);
-  return oldest != nullptr;
+bool HttpServer::SomebodyWaits() const {
+  pollfd queue{fd_, POLLIN, 0};
+  return poll(&queue, 1, 0) > 0;
+}
+
+void HttpServer::AcceptAt(Seconds when) {
+  loop_.Cancel(accept_timer_);
+  accept_timer_ = loop_.At(when, [this] {
+    accept_timer_ = 0;
+    Accept();
+  });
+}
+
+// Closes the connection that is missed least: one that was answered and has rested longest; else the first of
+// those that have said nothing since they came, as a usual client never does; else one that was just
+// answered. Soon: one that has come a moment ago may turn out to be silent, and the answered ones may stay.
+HttpServer::Room HttpServer::MakeRoom() {
+  Client* best = nullptr;
+  std::pair<int, Seconds> best_rank;
+  bool soon = false;
+  const Seconds now = loop_.Now();
+  for (const auto& client : clients_) {
+    const Seconds quiet = now - client->since();
+    const int group = !client->answered() ? 1 : quiet >= bounds_.rest_time ? 0 : 2;
+    const std::pair rank(group, client->since());
+    if ((best != nullptr && best_rank <= rank) || !client->idle()) continue;
+    if (group == 1 && quiet < bounds_.silent_time) {
+      soon = true;
+    } else {
+      best = client.get();
+      best_rank = rank;
+    }
+  }
+  if (best == nullptr || (best_rank.first == 2 && soon)) return soon ? Room::kSoon : Room::kNone;
+  Drop(*best);
+  return Room::kNow;
 }
 
 void HttpServer::CloseIdle() {
@@ -164,13 +235,12 @@
 }
 
 void HttpServer::Drop(Client& client) {
-  const auto it = std::find_if(clients_.begin(), clients_.end(), [&](auto& c) { return c.get() == &client; });
-  if (it == clients_.end()) return;
-  const bool was_full = connections() >= bounds_.connections + bounds_.reject_connections;
+  const bool was_full = connections() >= bounds_.connections;
   client.Shut();
-  loop_.Retire(std::move(*it));
-  clients_.erase(it);
-  if (was_full) loop_.At(loop_.Now(), [this] { Accept(); });  // who waits in the queue raises no new edge
+  const auto place = client.place();
+  loop_.Retire(std::move(*place));
+  clients_.erase(place);
+  if (was_full) AcceptAt(loop_.Now());
 }
 
 }  // namespace opalroute::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -17,8 +17,14 @@
   HttpBounds http;
   std::size_t answer_bytes = 0;
   int connections = 0, reject_connections = 0;  // beyond the first, so many more only hear a reject
-  Seconds request_time = 0, idle_time = 0;      // to bring a request that has begun; between requests
-  Seconds reject_wait = 0;                      // after which one that was turned away may come again
+  int requests_a_turn = 0;                      // of one connection, before the others have theirs
+  Seconds first_time = 0;                       // from accepting a connection to the end of its first request
+  Seconds request_time = 0, idle_time = 0;      // to bring a further one that has begun; between requests
+  Seconds rest_time = 0,
+          silent_time = 0;       // a full table first drops who has rested, or said nothing, so long
+  Seconds linger_time = 0;       // after the last answer, and ...
+  std::size_t linger_bytes = 0;  // ... so much is read off, that it is not reset away
+  Seconds reject_wait = 0;       // after which one that was turned away may come again
 };
 
 struct HttpAnswer {
@@ -49,8 +55,12 @@
 
  private:
   class Client;
+  using Clients = std::list<std::unique_ptr<Client>>;
   void Accept();
-  bool MakeRoom();
+  enum class Room { kNow, kSoon, kNone };
+  Room MakeRoom();
+  bool SomebodyWaits() const;
+  void AcceptAt(Seconds when);
   void Drop(Client& client);
 
   EventLoop& loop_;
@@ -58,7 +68,8 @@
   Handler& handler_;
   int fd_;
   bool closing_ = false;
-  std::list<std::unique_ptr<Client>> clients_;
+  Clients clients_;
+  EventLoop::TimerId accept_timer_ = 0;  // newcomers wait for room
 };
 
 }  // namespace opalroute::net
--- a/src/net/ring_buffer.cpp
+++ b/src/net/ring_buffer.cpp
@@ -22,11 +22,8 @@
   if (size_ > 0) {
     begin_ = (begin_ + count) % capacity_;
   } else {
-    begin_ = 0;
-    if (capacity_ > kFirstCapacity) {
-      bytes_.reset();
-      capacity_ = 0;
-    }
+    bytes_.reset();
+    begin_ = capacity_ = 0;
   }
 }
 
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -13,6 +13,7 @@
  public:
   explicit RingBuffer(std::size_t most) : most_(most) {}
 
+  std::size_t most() const { return most_; }
   std::size_t size() const { return size_; }
   bool empty() const { return size_ == 0; }
   bool full() const { return size_ >= most_; }
--- a/src/pool/discovery.cpp
+++ b/src/pool/discovery.cpp
@@ -85,11 +85,11 @@
 void Discovery::MoveTo(const sockaddr_in& address) {
   const bool watching = watch_ != nullptr;
   if (fetching_) client_.Abandon(*this);
-  client_.CloseIdle(address_);
+  client_.CloseIdle({address_});
   address_ = address;
   generation_.reset();
   if (watching) Watch(true);
-  if (fetching_) client_.Start(address_, *this);
+  if (fetching_) client_.Start({address_}, *this);
 }
 
 void Discovery::Expect(double within) {
@@ -165,7 +165,7 @@
     client_.Abandon(*this);
     EndFetch("no answer in time");
   });
-  client_.Start(address_, *this);
+  client_.Start({address_}, *this);
 }
 
 std::string Discovery::OnReady() {
--- a/src/relay/counters.h
+++ b/src/relay/counters.h
@@ -14,6 +14,7 @@
        not_sent = 0;
   long delivered = 0, given_up = 0, handed_back = 0, notices_arrived = 0;
   long pool_news = 0, pool_failures = 0, journal_failures = 0, reloads = 0, reload_failures = 0;
+  long endpoints = 0;  // known now
 
   std::string Print() const {
     const nlohmann::ordered_json out = {{"requests", requests},
@@ -44,7 +45,8 @@
                                         {"pool_failures", pool_failures},
                                         {"journal_failures", journal_failures},
                                         {"reloads", reloads},
-                                        {"reload_failures", reload_failures}};
+                                        {"reload_failures", reload_failures},
+                                        {"endpoints", endpoints}};
     return out.dump();
   }
 };
--- a/src/relay/notices.cpp
+++ b/src/relay/notices.cpp
@@ -26,7 +26,7 @@
 // What is out may have arrived: a notice about a message that is over does no harm.
 void Notices::MoveTo(const sockaddr_in& to) {
   if (sending_) client_.Abandon(*this);
-  client_.CloseIdle(to_);
+  client_.CloseIdle({to_});
   to_ = to;
   loop_.Cancel(timer_);
   loop_.Cancel(retry_);
@@ -43,7 +43,7 @@
     client_.Abandon(*this);
     Failed("no answer in time");
   });
-  client_.Start(to_, *this);
+  client_.Start({to_}, *this);
 }
 
 std::string Notices::OnReady() {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -19,12 +19,13 @@
   for (const Kind& kind : config.settings.kinds)
     most = std::max(most, static_cast<std::size_t>(std::max(1, kind.bundle)));
   net::ClientBounds bounds;
-  bounds.http = {limits.head_bytes, limits.header_count, 4 * limits.body_bytes};
+  bounds.http = {limits.head_bytes, limits.header_count, 4 * limits.body_bytes, limits.interim_answers};
   // Base64 makes three bytes four; names and marks stand around them.
   bounds.request_bytes = limits.head_bytes + most * (limits.body_bytes * 4 / 3 + 4 * limits.name_bytes);
   bounds.connections = limits.upstream_connections;
   bounds.connect_time = limits.connect_time;
   bounds.idle_time = limits.upstream_idle;
+  bounds.answer_time = limits.answer_time;
   return bounds;
 }
 
@@ -35,6 +36,7 @@
   bounds.connections = 4;
   bounds.connect_time = limits.notice_time;
   bounds.idle_time = limits.upstream_idle;
+  bounds.answer_time = limits.list_time;
   return bounds;
 }
 
@@ -93,11 +95,47 @@
 // ---- the pool --------------------------------------------------------------------------------------
 
 EndpointId Relay::Intern(const std::string& id) {
-  const auto [it, fresh] = endpoint_ids_.emplace(id, static_cast<EndpointId>(endpoints_.size()));
-  if (fresh) endpoints_.push_back({id, 0, 0, {}});
+  const auto [it, fresh] = endpoint_ids_.emplace(id, last_endpoint_ + 1);
+  if (fresh) {
+    endpoints_[++last_endpoint_].id = id;
+    unlisted_.insert(last_endpoint_);
+    ++counters_.endpoints;
+  }
   return it->second;
 }
 
+void Relay::Unlist(EndpointId id) {
+  Endpoint& endpoint = endpoints_.at(id);
+  if (!std::exchange(endpoint.listed, false)) return;
+  unlisted_.insert(id);
+  endpoints_client_.CloseIdle({endpoint.address, id});
+  Served& served = destinations_[endpoint.destination];
+  --served.endpoints;
+  served.left_at = loop_.Now();
+}
+
+std::vector<EndpointId> Relay::UnusedEndpoints() const {
+  std::vector<EndpointId> unused;
+  for (const EndpointId id : unlisted_)
+    if (endpoints_.at(id).users == 0) unused.push_back(id);
+  return unused;
+}
+
+// Danger: lists name new endpoints all day, and what is kept of each would grow for good. The module has
+// dropped an endpoint that is gone when a turn ends with no call or probe out there.
+void Relay::ForgetEndpoints(const std::vector<EndpointId>& unused) {
+  for (const EndpointId id : unused) {
+    const Endpoint& endpoint = endpoints_.at(id);
+    if (endpoint.listed || endpoint.users > 0) continue;
+    endpoints_client_.CloseIdle({endpoint.address, id});
+    const auto name = endpoint_ids_.find(endpoint.id);
+    if (name != endpoint_ids_.end() && name->second == id) endpoint_ids_.erase(name);
+    endpoints_.erase(id);
+    unlisted_.erase(id);
+    --counters_.endpoints;
+  }
+}
+
 void Relay::OnPoolNews(const PoolNews& news) {
   ++counters_.pool_news;
   list_is_current_ = true;
@@ -113,9 +151,11 @@
 void Relay::TellPool(const PoolNews& news, ListScope scope) {
   ListUpdate update;
   update.scope = scope;
+  std::set<EndpointId> named;
   for (const PoolMember& member : news.members) {
+    const bool gone = member.state == PoolMember::State::kGone;
+    if (gone && endpoint_ids_.count(member.id) == 0) continue;
     ListEntry entry;
-    entry.endpoint = Intern(member.id);
     entry.zone = IndexOf(config_.zones, member.zone);
     entry.kind = IndexOf(config_.kinds, member.kind);
     if (entry.zone < 0 || entry.kind < 0) {
@@ -123,16 +163,51 @@
                    member.zone, member.kind);
       continue;
     }
+    entry.endpoint = Intern(member.id);
     entry.destination = member.destination;
-    entry.listing = member.state == PoolMember::State::kReady      ? Listing::kInService
+    entry.listing = gone                                           ? Listing::kGone
                     : member.state == PoolMember::State::kDraining ? Listing::kDraining
-                                                                   : Listing::kGone;
+                                                                   : Listing::kInService;
     entry.rating = member.weight;
-    Endpoint& endpoint = endpoints_[entry.endpoint];
-    endpoint = {member.id, entry.zone, entry.kind, member.address};
-    destinations_.insert(member.destination);
+    Endpoint* endpoint = &endpoints_.at(entry.endpoint);
+    if (endpoint->listed && (endpoint->destination != entry.destination || endpoint->zone != entry.zone ||
+                             endpoint->kind != entry.kind)) {
+      // What serves something else now is another endpoint, whatever its name.
+      update.entries.push_back(
+          {entry.endpoint, endpoint->zone, endpoint->kind, endpoint->destination, Listing::kGone, 0});
+      Unlist(entry.endpoint);
+      endpoint_ids_.erase(member.id);
+      if (gone) continue;
+      entry.endpoint = Intern(member.id);
+      endpoint = &endpoints_.at(entry.endpoint);
+    }
+    const net::Peer before{endpoint->address, entry.endpoint};
+    if (net::FormatAddress(before.address) != net::FormatAddress(member.address))
+      endpoints_client_.CloseIdle(before);
+    endpoint->zone = entry.zone;
+    endpoint->kind = entry.kind;
+    endpoint->address = member.address;
+    endpoint->destination = entry.destination;
+    if (!gone && !std::exchange(endpoint->listed, true)) {
+      unlisted_.erase(entry.endpoint);
+      ++destinations_[entry.destination].endpoints;
+    }
+    if (gone) Unlist(entry.endpoint);
+    named.insert(entry.endpoint);
     update.entries.push_back(entry);
   }
+  if (scope != ListScope::kChanges) {
+    std::vector<EndpointId> unnamed;
+    for (const auto& [id, endpoint] : endpoints_)
+      if (endpoint.listed && named.count(id) == 0) unnamed.push_back(id);
+    for (const EndpointId id : unnamed) Unlist(id);
+  }
+  // A destination that has just lost its last endpoint is about to get another, mostly.
+  for (auto it = destinations_.begin(); it != destinations_.end();) {
+    const Served& served = it->second;
+    const bool past = served.endpoints == 0 && served.left_at + config_.limits.destination_rest < loop_.Now();
+    it = past ? destinations_.erase(it) : std::next(it);
+  }
   Post(std::move(update));
 }
 
@@ -182,6 +257,7 @@
   t.id = entry.id;
   t.key = entry.key;
   t.body = entry.body;
+  t.destination = entry.destination;
   t.deadline = loop_.Now() + restored.message.patience;
   messages_[entry.id] = id;
   ++open_;
@@ -201,7 +277,11 @@
 // ---- clients ------------------------------------------------------------------------------------------
 
 TakeOn Relay::Take(ClientRequest&& request, std::uint64_t& ticket) {
-  if (messages_.count(request.id) > 0) return TakeOn::kTaken;  // sent once more: it is held already
+  if (const auto held = messages_.find(request.id); held != messages_.end()) {
+    const Transaction& t = transactions_.at(held->second);
+    const bool same = t.key == request.key && t.body == request.body && t.destination == request.destination;
+    return same ? TakeOn::kTaken : TakeOn::kOtherMessage;  // sent once more, or the name of another's
+  }
   if (!taking_on_) return TakeOn::kStopping;
   if (destinations_.count(request.destination) == 0)
     return list_is_current_ ? TakeOn::kUnknownDestination : TakeOn::kNotYetKnown;
@@ -220,6 +300,7 @@
   t.id = std::move(request.id);
   t.key = std::move(request.key);
   t.body = std::move(request.body);
+  t.destination = request.destination;
   t.deadline = loop_.Now() + request.remaining;
   messages_[t.id] = id;
   ++open_;
@@ -264,7 +345,9 @@
   const Seconds tick = config_.settings.tick;
   turn_ = loop_.At((std::floor(loop_.Now() / tick) + 1) * tick, [this] {
     turn_ = 0;
+    const std::vector<EndpointId> unused = UnusedEndpoints();
     Post(TurnEnd{});
+    ForgetEndpoints(unused);
     CheckStopped();
   });
 }
@@ -295,7 +378,7 @@
     } else if (std::holds_alternative<FetchList>(action)) {
       discovery_.Fetch();
     } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
-      endpoints_client_.CloseIdle(endpoints_[close->endpoint].address);
+      endpoints_client_.CloseIdle({endpoints_.at(close->endpoint).address, close->endpoint});
     } else if (const auto* tell = std::get_if<opalroute::TellPeers>(&action)) {
       TellPeers(*tell);
     } else {
@@ -321,7 +404,7 @@
   t.journaled.push_back(-1);
   ++t.out;
   const auto most =
-      static_cast<std::size_t>(std::max(1, config_.settings.kinds[endpoints_[send.endpoint].kind].bundle));
+      static_cast<std::size_t>(std::max(1, config_.settings.kinds[endpoints_.at(send.endpoint).kind].bundle));
   std::vector<Batch>& batches = calls[send.endpoint];
   if (batches.empty() || batches.back().size() >= most) batches.emplace_back();
   batches.back().push_back(std::move(member));
@@ -343,8 +426,10 @@
   ++counters_.calls;
   counters_.attempts += static_cast<long>(members.size());
   ServerFlow::Owner& owner = *this;
-  auto owned = std::make_unique<ServerFlow>(loop_, endpoints_client_, endpoint, endpoints_[endpoint].address,
-                                            std::move(members), owner);
+  Endpoint& to = endpoints_.at(endpoint);
+  ++to.users;
+  auto owned =
+      std::make_unique<ServerFlow>(loop_, endpoints_client_, endpoint, to.address, std::move(members), owner);
   ServerFlow* flow = owned.get();
   flows_.emplace(flow, std::move(owned));
   for (const ServerFlow::Member& m : flow->members()) attempts_[{m.message, m.attempt}] = flow;
@@ -358,7 +443,7 @@
     ++counters_.not_left;
     return false;
   }
-  const Endpoint& endpoint = endpoints_[flow.endpoint()];
+  const Endpoint& endpoint = endpoints_.at(flow.endpoint());
   JournalAttempt attempt;
   attempt.endpoint = endpoint.id;
   attempt.zone = config_.zones.empty() ? "" : config_.zones[endpoint.zone];
@@ -410,6 +495,7 @@
 void Relay::OnFlowOver(ServerFlow& flow) {
   const auto it = flows_.find(&flow);
   if (it == flows_.end()) return;
+  --endpoints_.at(flow.endpoint()).users;
   loop_.Retire(std::move(it->second));
   flows_.erase(it);
   CheckStopped();
@@ -417,14 +503,17 @@
 
 void Relay::StartProbe(EndpointId endpoint) {
   ++counters_.probes;
-  auto owned = std::make_unique<Probing>(loop_, endpoints_client_, endpoint, endpoints_[endpoint].address,
-                                         config_.limits.connect_time,
-                                         [this](Probing& probe, const ProbeOutcome& outcome) {
-                                           const auto it = probes_.find(&probe);
-                                           loop_.Retire(std::move(it->second));
-                                           probes_.erase(it);
-                                           Post(outcome);
-                                         });
+  Endpoint& to = endpoints_.at(endpoint);
+  ++to.users;
+  auto owned =
+      std::make_unique<Probing>(loop_, endpoints_client_, endpoint, to.address, config_.limits.connect_time,
+                                [this](Probing& probe, const ProbeOutcome& outcome) {
+                                  --endpoints_.at(outcome.endpoint).users;
+                                  const auto it = probes_.find(&probe);
+                                  loop_.Retire(std::move(it->second));
+                                  probes_.erase(it);
+                                  Post(outcome);
+                                });
   Probing* probe = owned.get();
   probes_.emplace(probe, std::move(owned));
   probe->Start();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -44,6 +44,7 @@
  private:
   struct Transaction {
     std::string id, key, body;
+    DestinationId destination = 0;
     Seconds deadline = 0;
     int out = 0;                 // attempts without an outcome
     std::vector<int> journaled;  // by attempt: its number in the journal, or -1
@@ -54,6 +55,9 @@
     std::string id;
     int zone = 0, kind = 0;
     sockaddr_in address{};
+    DestinationId destination = 0;
+    bool listed = false;
+    int users = 0;  // flows and probes
   };
   using Batch = std::vector<ServerFlow::Member>;
 
@@ -87,6 +91,9 @@
   void ForgetIfDone(MessageId message);
   void CheckStopped();
   EndpointId Intern(const std::string& id);
+  void Unlist(EndpointId id);
+  void ForgetEndpoints(const std::vector<EndpointId>& unused);
+  std::vector<EndpointId> UnusedEndpoints() const;
 
   net::EventLoop& loop_;
   const Config& config_;
@@ -99,8 +106,14 @@
   std::unique_ptr<net::DatagramSocket> peers_;
 
   std::unordered_map<std::string, EndpointId> endpoint_ids_;
-  std::vector<Endpoint> endpoints_;  // by EndpointId
-  std::set<DestinationId> destinations_;
+  std::unordered_map<EndpointId, Endpoint> endpoints_;
+  EndpointId last_endpoint_ = 0;
+  std::set<EndpointId> unlisted_;  // not forgotten yet: calls may be out there, and the module may know them
+  struct Served {
+    int endpoints = 0;    // listed
+    Seconds left_at = 0;  // the last one of them
+  };
+  std::map<DestinationId, Served> destinations_;
   sockaddr_in discovery_at_;
   bool list_is_current_ = false;
 
--- a/src/relay/server_flow.cpp
+++ b/src/relay/server_flow.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
 #include <unordered_map>
 
 #include "net/address.h"
@@ -19,28 +21,36 @@
 
 namespace {
 
+// A plain decimal number that is the whole text, and no less than 0.
+std::optional<double> FigureIn(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool sound = error == std::errc() && end == text.data() + text.size() && std::isfinite(value);
+  return sound && value >= 0 ? std::optional(value) : std::nullopt;
+}
+
 Seconds WaitIn(const net::HttpMessage& answer) {
   const std::string* text = answer.Header("X-RateLimit-Wait-Ms");
-  if (text == nullptr) return 0;
-  char* end = nullptr;
-  const double milliseconds = std::strtod(text->c_str(), &end);
-  const bool sound = end != text->c_str() && std::isfinite(milliseconds) && milliseconds > 0;
-  return sound ? std::min(milliseconds, 3.6e6) / 1000 : 0;
+  return text == nullptr ? 0 : std::min(FigureIn(*text).value_or(0), 3.6e6) / 1000;
 }
 
-// "TEXT x0=0.4, x1=25"
+// "TEXT x0=0.4, x1=25". One that can't be read whole is ignored whole.
 LimitReport ReportIn(const net::HttpMessage& answer) {
   LimitReport report;
   const std::string* text = answer.Header("X-Pressure");
   if (text == nullptr) return report;
-  for (const char* name : {"x0=", "x1="}) {
-    const std::size_t at = text->find(name);
-    if (at == std::string::npos) continue;
-    char* end = nullptr;
-    const char* begin = text->c_str() + at + 3;
-    const double value = std::strtod(begin, &end);
-    if (end != begin && std::isfinite(value))
-      (name[1] == '0' ? report.share_left : report.calls_per_second) = value;
+  std::string_view rest = *text;
+  rest.remove_prefix(std::min(rest.size(), rest.find(' ')));
+  while (!rest.empty()) {
+    rest.remove_prefix(std::min(rest.size(), rest.find_first_not_of(", ")));
+    const std::string_view field = rest.substr(0, rest.find(','));
+    rest.remove_prefix(field.size());
+    const std::size_t equals = field.find('=');
+    if (equals == std::string_view::npos) return {};
+    const auto value = FigureIn(field.substr(equals + 1));
+    if (!value) return {};
+    if (field.substr(0, equals) == "x0") report.share_left = value;
+    if (field.substr(0, equals) == "x1") report.calls_per_second = value;
   }
   return report;
 }
@@ -74,7 +84,7 @@
       GiveUp(*m, Outcome::kTimeout, Outcome::kConnectFailed);
     });
   }
-  client_.Start(to_, *this);
+  client_.Start({to_, endpoint_}, *this);
 }
 
 bool ServerFlow::AnyWaits() const {
@@ -120,8 +130,12 @@
   if (over_ || !member.waits) return;
   const bool last =
       std::count_if(members_.begin(), members_.end(), [](const Member& m) { return m.waits; }) == 1;
-  const bool written = last ? client_.Abandon(*this) : begun_;
-  Settle(member, written ? if_written : if_not);
+  const auto state = last ? client_.Abandon(*this) : HttpClient::Abandoned{begun_, 0};
+  if (state.status == 200 && !batch_) {
+    Settle(member, Outcome::kServed);
+  } else {
+    Settle(member, state.written ? if_written : if_not);
+  }
   EndIfSettled();
 }
 
@@ -220,6 +234,7 @@
 }
 
 void ServerFlow::OnBroken(HttpClient::Broken how, int status) {
+  if (how == HttpClient::Broken::kNoRoom) return SettleAll(Outcome::kNotSent);
   if (how != HttpClient::Broken::kReset) return SettleAll(Outcome::kConnectFailed);
   // A first line with 200 is a delivery, whatever becomes of the rest; of several the whole answer counts.
   SettleAll(status == 200 && !batch_ ? Outcome::kServed : Outcome::kReset);
@@ -246,7 +261,7 @@
     client_.Abandon(*this);
     Finish(Outcome::kTimeout);
   });
-  client_.Start(to_, *this);
+  client_.Start({to_, endpoint_}, *this);
 }
 
 std::string Probing::OnReady() {
@@ -262,7 +277,9 @@
 }
 
 void Probing::OnBroken(HttpClient::Broken how, int) {
-  Finish(how == HttpClient::Broken::kReset ? Outcome::kReset : Outcome::kConnectFailed);
+  Finish(how == HttpClient::Broken::kReset    ? Outcome::kReset
+         : how == HttpClient::Broken::kNoRoom ? Outcome::kNotSent
+                                              : Outcome::kConnectFailed);
 }
 
 void Probing::Finish(Outcome outcome, const LimitReport& report) {
--- a/src/relay/virtual_server.cpp
+++ b/src/relay/virtual_server.cpp
@@ -22,15 +22,17 @@
   return error == std::errc() && end == text.data() + text.size();
 }
 
-// "dest=7", perhaps among other fields, apart by ',' ';' or spaces.
+// One "dest=7", perhaps among other fields, apart by ',' ';' or spaces.
 bool ParseDestination(std::string_view text, DestinationId& destination) {
+  int found = 0;
   while (!text.empty()) {
     const std::size_t end = std::min(text.size(), text.find_first_of(",; \t"));
     const std::string_view field = text.substr(0, end);
-    if (field.substr(0, 5) == "dest=") return ParseNumber(field.substr(5), destination);
+    if (field.substr(0, 5) == "dest=" && (++found > 1 || !ParseNumber(field.substr(5), destination)))
+      return false;
     text.remove_prefix(std::min(text.size(), end + 1));
   }
-  return false;
+  return found == 1;
 }
 
 std::optional<int> IndexOf(const std::vector<std::string>& names, const std::string& name) {
@@ -45,7 +47,13 @@
   bounds.answer_bytes = limits.head_bytes;
   bounds.connections = limits.client_connections;
   bounds.reject_connections = limits.reject_connections;
+  bounds.requests_a_turn = limits.requests_a_turn;
+  bounds.first_time = limits.first_time;
   bounds.request_time = limits.request_time;
+  bounds.rest_time = limits.client_rest;
+  bounds.silent_time = limits.client_silent;
+  bounds.linger_time = limits.client_linger;
+  bounds.linger_bytes = limits.linger_bytes;
   bounds.idle_time = limits.client_idle;
   bounds.reject_wait = limits.reject_wait;
   return bounds;
@@ -82,7 +90,7 @@
   const std::string wrong = Read(request, taken);
   if (!wrong.empty()) {
     ++counters_.bad_requests;
-    spdlog::warn("client: {}", wrong);
+    spdlog::debug("client: {}", wrong);  // counted; bad clients must not fill the log
     return Plain(400, wrong);
   }
   std::uint64_t ticket = 0;
@@ -101,6 +109,9 @@
     case TakeOn::kNotYetKnown:
       ++counters_.rejects_full;
       return Reject("destination not known yet");
+    case TakeOn::kOtherMessage:
+      ++counters_.bad_requests;
+      return Plain(409, "X-Txn: this id is another message's");
     default:
       ++counters_.bad_requests;
       return Plain(404, "X-Addressing: no such destination");
@@ -119,6 +130,10 @@
     const std::string* value = request.Header(name);
     return value == nullptr ? std::string() : *value;
   };
+  // Two readers could each take another one of them.
+  for (const char* name :
+       {"Host", "X-Txn", "X-Lane", "X-Org", "X-Remaining-Ms", "X-Addressing", "Idempotency-Key"})
+    if (request.Count(name) > 1) return std::string(name) + ": stated more than once";
   out.id = text("X-Txn");
   if (!IsName(out.id, limits.name_bytes)) return "X-Txn: an id is missing, or not plain";
   const auto message_class = IndexOf(config_.classes, text("X-Lane"));
--- a/src/relay/virtual_server.h
+++ b/src/relay/virtual_server.h
@@ -20,7 +20,7 @@
   DestinationId destination = 0;
 };
 
-enum class TakeOn { kTaken, kFull, kNoDisk, kStopping, kUnknownDestination, kNotYetKnown };
+enum class TakeOn { kTaken, kFull, kNoDisk, kStopping, kUnknownDestination, kNotYetKnown, kOtherMessage };
 
 class Transactions {
  public:
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -11,7 +11,8 @@
 //   NAME connect                a client connects
 //   NAME accept PLACE           PLACE (an endpoint's id, or `discovery`) takes a connection
 //   NAME refuse                 the endpoint NAME listens no more
-//   NAME < TEXT                 sends a line; \ at its end: without CR LF; escapes: \r \n \0 \xHH
+//   NAME < TEXT                 sends a line; \ at its end: without CR LF; escapes: \r \n \0 \xHH; @PLACE@ is
+//                               the address that PLACE listens at
 //   NAME . TEXT                 the same, byte by byte
 //   NAME > PATTERN              the next lines that NAME receives, apart by \r\n; * stands for anything
 //   NAME leaves TEXT            sends and closes before the relay has read it
@@ -251,7 +252,11 @@
     Peer& peer = peers_[name];
     if (verb == "<" || verb == ".") {
       const bool bare = !text.empty() && text.back() == '\\';
-      Send(peer, Unescape(bare ? text.substr(0, text.size() - 1) : text) + (bare ? "" : "\r\n"), verb == ".");
+      std::string bytes = Unescape(bare ? text.substr(0, text.size() - 1) : text) + (bare ? "" : "\r\n");
+      for (const auto& [place, fd] : listeners_)
+        for (std::size_t at = 0; (at = bytes.find("@" + place + "@")) != std::string::npos;)
+          bytes.replace(at, place.size() + 2, BoundTo(fd));
+      Send(peer, bytes, verb == ".");
     } else if (verb == "leaves") {
       send(peer.fd, Unescape(text).data(), Unescape(text).size(), MSG_NOSIGNAL);
       close(peer.fd);
