Module keeps connections after an outage: only a refusal while calls are served means a full table

At fault: rules.cpp, Judge set crowded_until_ for a whole kind on any quick failed connect, an endpoint that is down included. Now a full table is what refuses a connect while a call that was out there goes on to be served, and binds that endpoint alone.

Ruled out: disk and room (no rejects), descriptors (193 of 256).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -75,7 +75,8 @@
   Seconds opened_at = 0;
   bool never_ran = false;  // the latest failure proved that the call did not run
   bool probing = false;
-  int failures = 0;  // in a row
+  int failures = 0;                                       // in a row
+  Seconds refused_at = -kNever, crowded_until = -kNever;  // connects failed sooner than a call takes
 };
 
 struct Destination {
@@ -98,7 +99,6 @@
  public:
   explicit Impl(const Settings& settings) : s_(settings), random_(settings.seed) {
     for (const MessageClass& c : s_.classes) longest_aim_ = std::max(longest_aim_, c.aim);
-    crowded_until_.assign(s_.kinds.size(), -kNever);
     least_limit_.assign(s_.kinds.size(), kNever);
     for (const Tenant& tenant : s_.tenants)
       tenant_buckets_.push_back({kTenantBurst * tenant.allowance / s_.couriers, 0});
@@ -700,7 +700,7 @@
       calls_.erase(a.call);
       --destinations_[m.destination].calls_out;
       e.out.erase(e.out.find(a.sent));
-      if (e.out.empty() && now_ < crowded_until_[e.kind]) unused_.insert(e.endpoint);
+      if (e.out.empty() && now_ < e.crowded_until) unused_.insert(e.endpoint);
     }
     Judge(e, m, r, news, bundle);
     if (r.outcome == Outcome::kTimeout) ++m.timeouts;
@@ -752,8 +752,7 @@
     } else if (news && r.outcome != Outcome::kCancelled && r.outcome != Outcome::kNotSent) {
       const bool unconnected = r.outcome == Outcome::kConnectFailed;
       const Seconds usual = UsualLatency(d);
-      if (unconnected && (usual <= 0 || r.duration < usual))
-        crowded_until_[e.kind] = now_ + kCrowdedFor * s_.ramp_time;
+      if (unconnected && (usual <= 0 || r.duration < usual)) e.refused_at = now_;
       if (r.outcome == Outcome::kTimeout) e.latency.Add(single, kLatencyGain);  // the next time-out is wider
       Failed(e, unconnected, now_ - r.duration);
     }
@@ -763,6 +762,8 @@
     Lane& lane = *e.lane;
     e.last_served = now_;
     e.failures = 0;
+    // It ran on while it refused a connection, as one that is down does not: its table is full.
+    if (sent <= e.refused_at) e.crowded_until = now_ + kCrowdedFor * s_.ramp_time;
     lane.refusals = 0;
     if (lane.limit <= 0) lane.pace *= 1.05;  // no limit is known: probe upwards
     IsBound(e);                              // brings doubt up to date
@@ -847,9 +848,9 @@
     }
   }
 
-  // Danger: idle connections of hundreds of couriers fill an endpoint's table, and nearly every connect
-  // fails. Where one was refused of late, there or at one of its kind, and sooner than a call takes (silence
-  // refuses nothing), connections go with their last call. After a crash that costs handshakes.
+  // Danger: idle connections of many couriers fill an endpoint's table, and nearly every connect fails. Where
+  // one was refused sooner than a call takes (silence refuses nothing), while a call that was out went on to
+  // be served, connections go with their last call. What is down serves none: after its return they are kept.
   void CloseUnused() {
     for (const EndpointId id : std::exchange(unused_, {})) {
       const auto e = endpoints_.find(id);
@@ -965,9 +966,8 @@
   std::map<std::string, KeyQueue> keys_;
   std::set<std::pair<Seconds, std::string>> key_rests_;
   Line delayed_, expiries_;
-  std::set<EndpointId> unused_;         // their last call has ended, and connections are scarce there
-  std::vector<Seconds> crowded_until_;  // by kind
-  std::vector<double> least_limit_;     // by kind, of those that are known
+  std::set<EndpointId> unused_;      // their last call has ended, and connections are scarce there
+  std::vector<double> least_limit_;  // by kind, of those that are known
   std::vector<TokenBucket> tenant_buckets_;
   Latency all_latency_;
   Seconds longest_aim_ = 0;
