--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -700,9 +700,9 @@
       calls_.erase(a.call);
       --destinations_[m.destination].calls_out;
       e.out.erase(e.out.find(a.sent));
-      if (e.out.empty() && now_ < e.crowded_until) unused_.insert(e.endpoint);
     }
     Judge(e, m, r, news, bundle);
+    if (e.out.empty() && now_ < e.crowded_until) unused_.insert(e.endpoint);
     if (r.outcome == Outcome::kTimeout) ++m.timeouts;
     const bool may_still_run =
         r.outcome == Outcome::kTimeout || r.outcome == Outcome::kReset || r.outcome == Outcome::kCancelled;
