Repair the test of a full table: the other message leaves again in the same turn

The check was wrong, not the module: at the turn's end message 21 is sent again, so the connection is in use and stays; it is closed after that call.

--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -476,6 +476,10 @@
   now_ += 0.09;
   Tell(20, 0, 1, Outcome::kServed);  // it was out meanwhile: the endpoint is up, and its table full
   EndTurn();
+  EXPECT_EQ(All<CloseConnections>().size(), 0U);  // the other message has just left there again
+  now_ += 0.1;
+  Tell(21, 1, 1, Outcome::kServed);
+  EndTurn();
   const std::size_t closed = All<CloseConnections>().size();
   EXPECT_EQ(closed, 1U);
   ServeSafely(30, 1, 2);  // another endpoint of that kind
