An answer whose first line says all holds its call no more than 50 ms for the rest

Seen by reading: a 200 to a call with one message that stalls after its first line held the call, and one of the 20 slots, for answer_time (0.5 s). At fault: HttpClient waited alike for every answer's rest.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -25,6 +25,7 @@
   std::size_t linger_bytes = 1024 * 1024;  // read off meanwhile
   int requests_a_turn = 16;                // of one connection
   int interim_answers = 8;                 // 1xx in front of an endpoint's answer
+  double answer_rest = 0.05;               // for the rest of an answer whose first line says all
   double answer_time = 0.5;                // from an answer's first byte to its last
   double connect_time = 1.5;
   double upstream_idle = 14;  // less than the time after which endpoints close it
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -57,6 +57,7 @@
         parser_.message().keep_alive && in.empty() && state().written && !connection.peer_ended();
     HttpMessage answer = std::move(parser_.message());
     parser_.Reset();
+    has_status_ = false;
     Call& call = *std::exchange(call_, nullptr);
     client_.End(call);
     if (keep) {
@@ -107,6 +108,9 @@
   void AwaitRest() {
     if (!parser_.begun()) return client_.loop_.Cancel(timer_);
     if (timer_ == 0) SetTimer(client_.bounds_.answer_time);
+    const int status = parser_.message().status;
+    if (status >= 200 && !std::exchange(has_status_, true) && call_->Suffices(status))
+      SetTimer(client_.bounds_.rest_time);
   }
 
   void Rest() {
@@ -130,7 +134,7 @@
   std::unique_ptr<Connection> connection_;
   HttpParser parser_;
   Call* call_ = nullptr;
-  bool up_ = false;
+  bool up_ = false, has_status_ = false;
   EventLoop::TimerId timer_ = 0;
   Seconds rests_since_ = 0;
 };
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -19,7 +19,8 @@
   std::size_t request_bytes = 0;
   int connections = 0;                      // to all addresses together
   Seconds connect_time = 0, idle_time = 0;  // idle: closed before the other side does
-  Seconds answer_time = 0;                  // from an answer's first byte to its last
+  Seconds answer_time = 0;                  // from an answer's first byte to its last, or ...
+  Seconds rest_time = 0;                    // ... from a status that suffices
 };
 
 // Whom a call is meant for. Another one at the same address takes over no connection: the old one's may be
@@ -52,6 +53,8 @@
     virtual void OnAnswer(HttpMessage& answer) = 0;
     // `status`: of an answer that had begun, else 0.
     virtual void OnBroken(Broken how, int status) = 0;
+    // Whether an answer with this status says all there is to say: then its rest is hardly waited for.
+    virtual bool Suffices(int) const { return false; }
 
    private:
     friend class HttpClient;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -26,6 +26,7 @@
   bounds.connect_time = limits.connect_time;
   bounds.idle_time = limits.upstream_idle;
   bounds.answer_time = limits.answer_time;
+  bounds.rest_time = limits.answer_rest;
   return bounds;
 }
 
--- a/src/relay/server_flow.h
+++ b/src/relay/server_flow.h
@@ -43,6 +43,7 @@
   std::string OnReady() override;
   void OnAnswer(net::HttpMessage& answer) override;
   void OnBroken(net::HttpClient::Broken how, int status) override;
+  bool Suffices(int status) const override { return status == 200 && !batch_; }
 
   std::string WriteSingle(const Member& member) const;
   std::string WriteBatch() const;
