--- a/include/opalroute/rules.h
+++ b/include/opalroute/rules.h
@@ -165,8 +165,29 @@
 };
 struct TurnEnd {};
 
+// What a courier believes of a lane (a destination, or one endpoint where routes are apart), for another that
+// knows nothing yet. Ages are those of the observations themselves, however often a belief was passed on.
+struct Belief {
+  DestinationId destination{};
+  EndpointId endpoint{};              // of a route apart; 0: the destination as a whole
+  Seconds wait{};                     // told and not over: the rest of it; 0: none
+  std::optional<Seconds> out{};       // failing or shut: age of the latest bad outcome
+  std::optional<Seconds> back{};      // starts slowly after an outage: since when
+  std::optional<Seconds> served{};    // age of the latest served call
+  std::optional<Seconds> refused{};   // age of the refusal that cut ...
+  double pace{};                      // ... what a courier sends, in calls a second
+  std::optional<Seconds> measured{};  // age of ...
+  Seconds latency{};                  // ... the usual time of a call
+  std::optional<Seconds> barred{};    // no copies: age of the refusal that barred them
+};
+// Beliefs of others, judged by their ages. They add care and never daring: a wait grows no shorter, no doubt
+// or slow start ends sooner, and nothing is sent that would not be sent without them.
+struct Learned {
+  std::vector<Belief> beliefs;
+};
+
 using Event = std::variant<ListUpdate, NewMessage, Restored, AttemptOutcome, AnswerBegun, ProbeOutcome,
-                           Withdrawn, PeerNote, Wake, Stopping, TurnEnd>;
+                           Withdrawn, PeerNote, Learned, Wake, Stopping, TurnEnd>;
 
 // ---- actions -------------------------------------------------------------------------------
 
@@ -228,6 +249,10 @@
   // Whether a send that has waited for its connection may still leave: no told wait and no drain came since.
   bool MayLeave(Seconds now, EndpointId endpoint) const;
 
+  // What is believed of up to `most` destinations, from the number `from` on; `from` is then where to go on,
+  // or nothing after the last.
+  std::vector<Belief> Beliefs(Seconds now, std::optional<DestinationId>& from, int most) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/lab/platform.h
@@ -0,0 +1,53 @@
+// A stand-in for the platform: hands out one list of endpoints and takes notices.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "net/address.h"
+#include "net/http_server.h"
+
+namespace opalroute::lab {
+
+class Platform : private net::HttpServer::Handler {
+ public:
+  explicit Platform(net::EventLoop& loop)
+      : server_(loop, *net::ParseAddress("127.0.0.1:0"), Bounds(), *this) {}
+
+  sockaddr_in address() const { return server_.address(); }
+  void SetList(nlohmann::json list) { list_ = std::move(list); }
+  const std::map<std::string, std::string>& notices() const { return notices_; }  // outcome by message
+
+ private:
+  static net::ServerBounds Bounds() {
+    net::ServerBounds bounds;
+    bounds.http = {16 * 1024, 64, 256 * 1024};
+    bounds.answer_bytes = 4 << 20;
+    bounds.connections = 64;
+    bounds.reject_connections = 8;
+    bounds.requests_a_turn = 16;
+    bounds.first_time = bounds.request_time = bounds.idle_time = 30;
+    bounds.rest_time = bounds.silent_time = bounds.linger_time = 1;
+    bounds.linger_bytes = 1 << 20;
+    return bounds;
+  }
+  net::HttpAnswer OnRequest(net::HttpMessage& request) override {
+    if (request.method == "GET") return {200, {}, list_.dump() + "\n", 0};
+    std::istringstream lines(request.body);
+    for (std::string line; std::getline(lines, line);) {
+      const auto notice = nlohmann::json::parse(line, nullptr, false);
+      if (notice.is_object()) notices_[notice.value("message", "")] = notice.value("outcome", "");
+    }
+    return {204, {}, {}, 0};
+  }
+  void OnAnswerLost(std::uint64_t) override {}
+
+  nlohmann::json list_ = {{"generation", 1}, {"reset", true}, {"instances", nlohmann::json::array()}};
+  std::map<std::string, std::string> notices_;
+  net::HttpServer server_;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/snapshot_main.cpp
@@ -0,0 +1,170 @@
+// Measures one snapshot of 20,000 destinations at a real clock: time to learn, bytes, the donor's CPU and its
+// longest pause. Donor and learner are processes of their own.
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <limits>
+#include <vector>
+
+#include "learning/donor.h"
+#include "learning/learner.h"
+#include "net/address.h"
+#include "opalroute/rules.h"
+
+namespace {
+
+using namespace opalroute;
+
+Settings ModuleSettings() {
+  Settings s;
+  s.classes.resize(1);
+  s.classes[0].aim = 1;
+  s.classes[0].deadline = 8;
+  s.classes[0].worth = 1;
+  s.kinds = {{false, 1}};
+  s.couriers = 2;
+  s.slots = 10;
+  s.room = 100;
+  s.most_tries = 3;
+  s.tick = 0.005;
+  s.ask_within = 10;
+  s.overload_for = 2;
+  s.overload_factor = 2;
+  s.cold_from = 0.22;
+  s.ramp_time = 13;
+  return s;
+}
+
+// A module that believes something of every destination: each has told a wait, and has been out.
+class Believer {
+ public:
+  Believer(int destinations, Seconds now) : courier_(ModuleSettings()) {
+    std::vector<Action> actions;
+    ListUpdate list;
+    list.scope = ListScope::kWhole;
+    for (int i = 1; i <= destinations; ++i)
+      list.entries.push_back({static_cast<EndpointId>(i), 0, 0, i, Listing::kInService, 5});
+    courier_.Handle(now, list, actions);
+    Learned learned;
+    for (int i = 1; i <= destinations; ++i) {
+      Belief b;
+      b.destination = i;
+      b.wait = 20;
+      b.out = 1;
+      learned.beliefs.push_back(b);
+    }
+    courier_.Handle(now, learned, actions);
+  }
+  std::vector<learning::Heard> Export(Seconds now, std::optional<DestinationId>& from, int most) const {
+    std::vector<learning::Heard> lanes;
+    for (const Belief& b : courier_.Beliefs(now, from, most)) lanes.push_back({{}, b});
+    return lanes;
+  }
+
+ private:
+  Courier courier_;
+};
+
+// A donor's loop with a beat of its own: how late it comes is how long transactions would have been held up.
+void RunDonor(int destinations, int address_to, int report_to) {
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  const Believer believer(destinations, loop.Now());
+  const Limits limits;
+  learning::Donor donor(
+      loop, *net::ParseAddress("127.0.0.1:0"), "donor",
+      [&](std::optional<DestinationId>& from, int most) { return believer.Export(loop.Now(), from, most); },
+      limits);
+  const sockaddr_in address = donor.address();
+  if (write(address_to, &address, sizeof(address)) != sizeof(address)) _exit(1);
+  constexpr Seconds kFor = 2;
+  const Seconds ends = loop.Now() + kFor;
+  rusage before{};
+  getrusage(RUSAGE_SELF, &before);
+  Seconds longest = 0, turn = loop.Now();
+  while (loop.Now() < ends) {
+    loop.RunOnce(0.001);
+    // A turn that waits for nothing may take its millisecond; what is above that stood still for the
+    // snapshot.
+    longest = std::max(longest, loop.Now() - turn);
+    turn = loop.Now();
+  }
+  rusage after{};
+  getrusage(RUSAGE_SELF, &after);
+  const auto seconds = [](const timeval& t) { return static_cast<double>(t.tv_sec) + t.tv_usec * 1e-6; };
+  const double report[] = {longest, seconds(after.ru_utime) - seconds(before.ru_utime) +
+                                        seconds(after.ru_stime) - seconds(before.ru_stime)};
+  _exit(write(report_to, report, sizeof(report)) == sizeof(report) ? 0 : 1);
+}
+
+class Collector : public learning::Learner::Owner {
+ public:
+  explicit Collector(net::EventLoop& loop) : loop_(loop) {}
+  void OnHeard(int, const learning::Heard&, Seconds) override { ++lanes; }
+  void OnAllEnded(const std::vector<learning::Learner::Report>& reports) override {
+    report = reports[0];
+    loop_.Stop();
+  }
+  int lanes = 0;
+  learning::Learner::Report report;
+
+ private:
+  net::EventLoop& loop_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  int destinations = 20000, runs = 9;
+  CLI::App app{"One snapshot over loopback, as long as a relay of that many destinations has one."};
+  app.add_option("--destinations", destinations)->check(CLI::Range(1, 50000));
+  app.add_option("--runs", runs)->check(CLI::Range(1, 100));
+  CLI11_PARSE(app, argc, argv);
+  spdlog::set_level(spdlog::level::off);
+  std::vector<std::vector<double>> figures(4);
+  for (int run = 0; run < runs; ++run) {
+    int address_pipe[2], report_pipe[2];
+    if (pipe(address_pipe) != 0 || pipe(report_pipe) != 0) return 1;
+    const pid_t child = fork();
+    if (child == 0) RunDonor(destinations, address_pipe[1], report_pipe[1]);
+    sockaddr_in address{};
+    if (read(address_pipe[0], &address, sizeof(address)) != sizeof(address)) return 1;
+    const net::SystemClock clock;
+    net::EventLoop loop(clock);
+    Limits limits;
+    Collector got(loop);
+    learning::Learner learner(loop, {address}, "learner", 5, limits, got);
+    loop.Run();
+    double report[2];
+    if (read(report_pipe[0], report, sizeof(report)) != sizeof(report)) return 1;
+    int status = 0;
+    waitpid(child, &status, 0);
+    for (const int fd : {address_pipe[0], address_pipe[1], report_pipe[0], report_pipe[1]}) close(fd);
+    if (got.report.end != "whole" || got.lanes != destinations) {
+      std::printf("a run ended %s with %d lanes\n", got.report.end.c_str(), got.lanes);
+      return 1;
+    }
+    figures[0].push_back(got.report.took * 1000);
+    figures[1].push_back(static_cast<double>(got.report.bytes) / destinations);
+    figures[2].push_back(report[0] * 1000);
+    figures[3].push_back(report[1] * 1e6 / destinations);
+  }
+  const char* names[] = {
+      "ms to learn all (aim: under 200)", "bytes a destination",
+      "ms: longest turn of the donor's loop, of which up to 1 is waiting (aim: under 1 more)",
+      "µs of the donor's CPU a destination"};
+  std::printf("one snapshot of %d destinations, each with a wait and an outage; %d runs, two processes\n\n",
+              destinations, runs);
+  std::printf("| figure | median | least | most |\n|---|---|---|---|\n");
+  for (std::size_t i = 0; i < figures.size(); ++i) {
+    std::sort(figures[i].begin(), figures[i].end());
+    std::printf("| %s | %.3f | %.3f | %.3f |\n", names[i], figures[i][figures[i].size() / 2],
+                figures[i].front(), figures[i].back());
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/cli/command_line.cpp
@@ -0,0 +1,54 @@
+#include "cli/command_line.h"
+
+#include <iostream>
+
+#include "config/operator_options.h"
+
+namespace opalroute::cli {
+
+Parsed Parse(int argc, const char* const* argv, const config::Environment& environment) {
+  Parsed parsed;
+  Order& order = parsed.order;
+  CLI::App app{
+      "opalroute relays messages to partners' endpoints.\n"
+      "The platform's configuration comes from the file that EDGE_CONFIG names; every setting below is a "
+      "flag,\n"
+      "a variable OPALROUTE_... or a key of the operators' file, in this order of precedence."};
+  app.name("opalroute");
+  app.set_version_flag("--version", std::string("opalroute ") + OPALROUTE_VERSION);
+  app.require_subcommand(0, 1);
+  app.fallthrough();
+  CLI::App* run = app.add_subcommand("run", "serve until SIGTERM (also without a command)");
+  CLI::App* check = app.add_subcommand("check", "read and check all configuration, print every fault");
+  CLI::App* snapshot = app.add_subcommand("snapshot", "print what a relay has learnt of its partners");
+  snapshot->add_option("FROM", order.snapshot_of, "address of a --learn-listen, or a state folder")
+      ->required();
+  snapshot->add_flag("--json", order.as_json, "as JSON instead of a table");
+  for (CLI::App* command : {run, check, snapshot}) command->fallthrough();
+  try {
+    const config::OperatorOptions options(app, environment);
+    app.parse(argc, argv);
+    order.settings = options.Finish(order.faults);
+  } catch (const CLI::ParseError& error) {
+    parsed.exits = true;
+    parsed.exit_code = app.exit(error) == 0 ? 0 : 2;
+    return parsed;
+  }
+  if (*check) order.command = Command::kCheck;
+  if (*snapshot) order.command = Command::kSnapshot;
+  return parsed;
+}
+
+int Check(const Order& order, const config::Environment& environment) {
+  std::vector<std::string> faults = order.faults;
+  try {
+    config::Load(environment);
+  } catch (const config::Faults& error) {
+    faults.insert(faults.end(), error.all().begin(), error.all().end());
+  } catch (const config::FieldError& error) { faults.emplace_back(error.what()); }
+  for (const std::string& fault : faults) std::cout << fault << '\n';
+  if (faults.empty()) std::cout << "the configuration is sound\n";
+  return faults.empty() ? 0 : 2;
+}
+
+}  // namespace opalroute::cli
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,15 @@
 #include "config/settings.h"
 #include "net/address.h"
 
+namespace opalroute {
+
+int IndexOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+}  // namespace opalroute
+
 namespace opalroute::config {
 
 using nlohmann::json;
@@ -60,38 +69,57 @@
   if (idle <= 0) throw FieldError("key 'settings.limits.connIdleS' must be above 0");
   limits.upstream_idle = idle - std::min(1.0, idle / 4);  // never written to when it is about to be closed
   limits.open_transactions = config.settings.room;
+  limits.learn_file_bytes = std::min(limits.learn_file_bytes, limits.disk_bytes / 20);
+  config.may_tell_peers = GetOr(site, "peers", false);
+  config.own_peer = GetOr(settings, "me", -1);
 }
 
-}  // namespace
-
-Config Parse(const json& file, const Environment& environment) {
-  if (!file.is_object()) throw FieldError("the configuration is no JSON object");
-  Config config;
-  config.name = Text(file, "name", environment, "EDGE_NAME");
-  config.listen = AddressOf(Text(file, "listen", environment, "EDGE_LISTEN"), "listen");
-  config.discovery = AddressOf(Text(file, "discovery", environment, "EDGE_DISCOVERY"), "discovery");
-  config.state_folder = Text(file, "state", environment, "EDGE_STATE");
-  if (Find(file, "peer_listen") != nullptr)
-    config.peer_listen = AddressOf(Get<std::string>(file, "peer_listen"), "peer_listen");
-  if (Find(file, "peers_all") != nullptr)
-    config.peers_all = AddressOf(Get<std::string>(file, "peers_all"), "peers_all");
-  for (const std::string& peer : NamesIn(file, "peers", nullptr))
-    config.peers.push_back(AddressOf(peer, "peers"));
-  const json& settings = Need(file, "settings");
-  try {
-    config.settings = ParseSettings(settings, ParseSeed(file));
+void ReadSettings(const json& settings, std::uint64_t seed, Config& config) {
+  Collector faults;
+  faults.In("key 'settings': ", [&] {
+    faults.Try([&] { config.settings = ParseSettings(settings, seed); });
     // The module's backoff after a failed watch is a part of this, also where nothing demands to ask.
     if (config.settings.ask_within <= 0) config.settings.ask_within = 10;
-    config.classes = NamesIn(settings, "classes", "name");
-    config.tenants = NamesIn(settings, "realms", "name");
-    config.zones = NamesIn(settings, "zones", nullptr);
-    config.kinds = NamesIn(settings, "kinds", nullptr);
+    faults.Try([&] { config.classes = NamesIn(settings, "classes", "name"); });
+    faults.Try([&] { config.tenants = NamesIn(settings, "realms", "name"); });
+    faults.Try([&] { config.zones = NamesIn(settings, "zones", nullptr); });
+    faults.Try([&] { config.kinds = NamesIn(settings, "kinds", nullptr); });
+    if (!faults.clean()) return;  // the rest would only be told as missing
     if (config.classes.empty()) throw FieldError("field 'classes' names none");
     if (config.settings.tick <= 0) throw FieldError("field 'tickS' must be above 0");
     if (config.settings.couriers < 1) throw FieldError("field 'balancers' must be 1 or more");
-  } catch (const FieldError& error) { throw FieldError(std::string("key 'settings': ") + error.what()); }
+  });
+  faults.Throw();
+}
+
+}  // namespace
+
+Config Parse(const json& file, const Environment& environment) {
+  if (!file.is_object()) throw FieldError("the configuration is no JSON object");
+  Config config;
+  Collector faults;
+  const auto address = [&](sockaddr_in& to, const char* key, const char* variable) {
+    faults.Try([&] { to = AddressOf(Text(file, key, environment, variable), key); });
+  };
+  const auto address_if_there = [&](std::optional<sockaddr_in>& to, const char* key) {
+    if (Find(file, key) != nullptr) faults.Try([&] { to = AddressOf(Get<std::string>(file, key), key); });
+  };
+  faults.Try([&] { config.name = Text(file, "name", environment, "EDGE_NAME"); });
+  address(config.listen, "listen", "EDGE_LISTEN");
+  address(config.discovery, "discovery", "EDGE_DISCOVERY");
+  faults.Try([&] { config.state_folder = Text(file, "state", environment, "EDGE_STATE"); });
+  address_if_there(config.peer_listen, "peer_listen");
+  address_if_there(config.peers_all, "peers_all");
+  faults.Try([&] {
+    for (const std::string& peer : NamesIn(file, "peers", nullptr))
+      config.peers.push_back(AddressOf(peer, "peers"));
+  });
+  std::uint64_t seed = 0;
+  faults.Try([&] { seed = ParseSeed(file); });
+  faults.Try([&] { ReadSettings(Need(file, "settings"), seed, config); });
   if (const json* known = Find(file, "known")) config.known = *known;
-  FillLimits(file, config);
+  faults.Try([&] { FillLimits(file, config); });
+  faults.Throw();
   config.file = file;
   for (const char* key : {"known", "seed"}) config.file.erase(key);
   return config;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -22,6 +22,8 @@
   sockaddr_in listen{}, discovery{};
   std::optional<sockaddr_in> peer_listen, peers_all;
   std::vector<sockaddr_in> peers;  // by their numbers
+  int own_peer = -1;               // among them
+  bool may_tell_peers = false;     // the settings allow notes between relays
   Settings settings;
   std::vector<std::string> classes, tenants, zones, kinds;  // names, in the settings' order
   nlohmann::json known;                                     // the list as it was last held, or null
@@ -29,6 +31,9 @@
   nlohmann::json file;  // what was read, but for `known` and `seed`, which serve a start alone
 };
 
+// Its place among the names, or -1.
+int IndexOf(const std::vector<std::string>& names, const std::string& name);
+
 namespace config {
 
 using Environment = std::function<std::optional<std::string>(const char* name)>;
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -16,6 +16,51 @@
   using std::runtime_error::runtime_error;
 };
 
+// Several at once, one a line.
+class Faults : public FieldError {
+ public:
+  explicit Faults(std::vector<std::string> all) : FieldError(Join(all)), all_(std::move(all)) {}
+  const std::vector<std::string>& all() const { return all_; }
+
+ private:
+  static std::string Join(const std::vector<std::string>& all) {
+    std::string text;
+    for (const std::string& one : all) text += (text.empty() ? "" : "; ") + one;
+    return text;
+  }
+  std::vector<std::string> all_;
+};
+
+// Goes on after a fault, so that all of them are told together.
+class Collector {
+ public:
+  template <typename Step>
+  void Try(const Step& step) {
+    try {
+      step();
+    } catch (const Faults& faults) {
+      for (const std::string& fault : faults.all()) Add(fault);
+    } catch (const FieldError& error) { Add(error.what()); }
+  }
+  // Faults found inside carry this in front.
+  template <typename Step>
+  void In(const std::string& place, const Step& step) {
+    const std::string outer = place_;
+    place_ += place;
+    Try(step);
+    place_ = outer;
+  }
+  bool clean() const { return all_.empty(); }
+  void Throw() const {
+    if (!all_.empty()) throw Faults(all_);
+  }
+
+ private:
+  void Add(const std::string& fault) { all_.push_back(place_ + fault); }
+  std::string place_;
+  std::vector<std::string> all_;
+};
+
 template <typename T>
 using Words = std::vector<std::pair<const char*, T>>;
 
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -45,6 +45,18 @@
   std::size_t notice_lines = 64;  // in one request
   // between relays
   std::size_t datagram_bytes = 256;
+  // learning from running instances
+  int learn_sessions = 4;              // learners served at once
+  double learn_session = 5;            // seconds that one of them may take
+  std::size_t learn_lanes = 50'000;    // kept of what donors tell, of each start
+  std::size_t learn_bytes = 16 << 20;  // read from one donor
+  double learn_pending = 10;           // seconds that beliefs wait for the pool to name their endpoints
+  std::size_t learn_file_bytes =
+      64 * 1024;                  // in the state folder, together with the one that takes its place
+  double learn_file_every = 0.5;  // seconds between two savings
+  int learn_note_peers = 2;       // asked by datagrams ...
+  int learn_note_answers = 4;     // ... of which each sends so many at most
+  double learn_note_time = 2;     // seconds after the question that answers are taken
   // the end
   double stop_take_on = 0.45;  // after SIGTERM: new work is still taken on for so long
   double stop_time = 3.45;     // and the process has ended after this
--- /dev/null
+++ b/src/config/operator.h
@@ -0,0 +1,26 @@
+// The operators' own settings, with their defaults; operator_options.h says where they come from.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace opalroute {
+
+struct Operator {
+  bool log_json = false;
+  std::string log_level = "info";
+  struct Learn {
+    std::optional<sockaddr_in> listen;  // others may fetch a snapshot here
+    std::vector<sockaddr_in> from;      // where this one fetches its own at the start
+    bool notes = false;                 // ask peers by datagrams
+    bool state = false;                 // keep a snapshot in the state folder, and read it at the start
+    double time = 0.3;                  // seconds that readiness waits for donors; 0.01 to 10
+    double longest_wait = 30;           // seconds for which a wait by hearsay holds at most; 0 to 3600
+    bool on() const { return listen || !from.empty() || notes || state; }
+  } learn;
+};
+
+}  // namespace opalroute
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -43,38 +43,65 @@
 
 Settings ParseSettings(const json& options, std::uint64_t seed) {
   Settings s;
-  const json& limits = Need(options, "limits");
-  const json& rules = Need(options, "rules");
-  const json& info = Need(options, "familyInfo");
-  for (const json& item : Need(options, "classes")) s.classes.push_back(ParseClass(item));
+  Collector faults;
+  // A part that is missing is told once, and read as an empty one.
+  const auto part = [&](const char* name) {
+    json found;
+    faults.Try([&] {
+      found = Need(options, name);
+      if (!found.is_object()) throw FieldError(std::string("field '") + name + "' is no object");
+    });
+    return found;
+  };
+  const json limits = part("limits"), rules = part("rules"), info = part("familyInfo");
+  const auto in = [&](const char* place, const auto& step) {
+    faults.In(place == nullptr ? "" : std::string("in '") + place + "': ", step);
+  };
+  const auto number = [&](const char* place, const json& from, const char* field, auto& to) {
+    if (from.is_null()) return;  // told already
+    in(place, [&] { to = Get<std::decay_t<decltype(to)>>(from, field); });
+  };
+  const auto perhaps = [&](const char* place, const json& from, const char* field, auto& to) {
+    in(place, [&] { to = GetOr(from, field, to); });
+  };
+  faults.Try([&] {
+    for (const json& item : Need(options, "classes"))
+      in("classes", [&] { s.classes.push_back(ParseClass(item)); });
+  });
   if (const json* realms = Find(options, "realms")) {
-    for (const json& item : *realms) s.tenants.push_back({Get<double>(item, "allowancePerS")});
+    for (const json& item : *realms)
+      in("realms", [&] { s.tenants.push_back({Get<double>(item, "allowancePerS")}); });
   }
-  for (std::size_t i = 0; i < NamesIn(options, "kinds", nullptr).size(); ++i) {
-    s.kinds.push_back({At(info, "routesApart", i, false), At(info, "bundleMax", i, 1)});
-  }
-  s.couriers = Get<int>(options, "balancers");
-  s.slots = Get<int>(info, "callsOut");
-  s.room = Get<int>(limits, "openCap");
-  s.most_tries = Get<int>(limits, "mostTries");
-  s.may_cancel = GetOr(limits, "cancel", false);
-  s.may_copy = GetOr(limits, "secondCopies", false);
-  s.may_probe = GetOr(limits, "probes", false);
-  s.may_advise_wait = GetOr(limits, "retryAfter", false);
-  s.longest_wait = GetOr(limits, "maxRetryAfterS", 0.0);
-  s.ask_for_list = Word(kDiscovery, options, "discovery");
-  s.late = Find(info, "late") != nullptr ? Word(kLate, info, "late") : LateWorth::kEven;
-  s.rating =
-      Find(options, "weightKind") != nullptr ? Word(kRatings, options, "weightKind") : RatingMeaning::kNone;
-  s.over_share_worth = GetOr(options, "overShareWorth", 1.0);
-  s.tick = Get<double>(options, "tickS");
-  s.ask_within = GetOr(rules, "askWithinS", 0.0);
-  s.overload_for = Get<double>(rules, "overloadForS");
-  s.overload_factor = Get<double>(rules, "overloadFactor");
-  s.cold_from = Get<double>(rules, "coldFrom");
-  s.ramp_time = Get<double>(rules, "rampTimeS");
-  if (Find(rules, "keyRestS") != nullptr) s.key_rest = Get<double>(rules, "keyRestS");
+  faults.Try([&] {
+    for (std::size_t i = 0; i < NamesIn(options, "kinds", nullptr).size(); ++i)
+      s.kinds.push_back({At(info, "routesApart", i, false), At(info, "bundleMax", i, 1)});
+  });
+  number(nullptr, options, "balancers", s.couriers);
+  number("familyInfo", info, "callsOut", s.slots);
+  number("limits", limits, "openCap", s.room);
+  number("limits", limits, "mostTries", s.most_tries);
+  perhaps("limits", limits, "cancel", s.may_cancel);
+  perhaps("limits", limits, "secondCopies", s.may_copy);
+  perhaps("limits", limits, "probes", s.may_probe);
+  perhaps("limits", limits, "retryAfter", s.may_advise_wait);
+  perhaps("limits", limits, "maxRetryAfterS", s.longest_wait);
+  faults.Try([&] { s.ask_for_list = Word(kDiscovery, options, "discovery"); });
+  faults.Try([&] { s.late = Find(info, "late") != nullptr ? Word(kLate, info, "late") : LateWorth::kEven; });
+  faults.Try([&] {
+    s.rating =
+        Find(options, "weightKind") != nullptr ? Word(kRatings, options, "weightKind") : RatingMeaning::kNone;
+  });
+  s.over_share_worth = 1;
+  perhaps(nullptr, options, "overShareWorth", s.over_share_worth);
+  number(nullptr, options, "tickS", s.tick);
+  perhaps("rules", rules, "askWithinS", s.ask_within);
+  number("rules", rules, "overloadForS", s.overload_for);
+  number("rules", rules, "overloadFactor", s.overload_factor);
+  number("rules", rules, "coldFrom", s.cold_from);
+  number("rules", rules, "rampTimeS", s.ramp_time);
+  if (Find(rules, "keyRestS") != nullptr) in("rules", [&] { s.key_rest = Get<double>(rules, "keyRestS"); });
   s.seed = seed;
+  faults.Throw();
   return s;
 }
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -2,19 +2,22 @@
 
 #include <fcntl.h>
 #include <unistd.h>
-#include <zlib.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <system_error>
 
+#include "net/framing.h"
+
 namespace opalroute {
 namespace {
 
 enum class Type : char { kTaken = 'T', kAttempt = 'A', kNeverRan = 'N', kEnd = 'E', kEndWith = 'W' };
 
-constexpr std::size_t kHeadBytes = 8;  // of a record: length and checksum
+using net::Frame;
+
+constexpr std::size_t kHeadBytes = net::kFrameHead;
 constexpr std::size_t kLongestRecord = 1 << 20;
 constexpr std::size_t kFollowBytes = 512;  // kept free for each message: an attempt, the end with its notice
 constexpr double kTakenPart = 0.4;  // of the disk: nothing more is taken on once so much is to be kept ...
@@ -94,29 +97,6 @@
   return record;
 }
 
-std::uint32_t ChecksumOf(const std::string& record) {
-  return static_cast<std::uint32_t>(
-      crc32(0, reinterpret_cast<const unsigned char*>(record.data()), static_cast<unsigned>(record.size())));
-}
-
-void PutShort(std::string& bytes, std::size_t number) {
-  for (int i = 0; i < 4; ++i) bytes += static_cast<char>(number >> (8 * i) & 255U);
-}
-
-std::uint32_t ShortAt(const std::string& bytes, std::size_t at) {
-  std::uint32_t number = 0;
-  for (std::size_t i = 0; i < 4; ++i)
-    number |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[at + i])) << (8 * i);
-  return number;
-}
-
-std::string Frame(const std::string& record) {
-  std::string bytes;
-  PutShort(bytes, record.size());
-  PutShort(bytes, ChecksumOf(record));
-  return bytes + record;
-}
-
 bool WriteAll(int fd, const std::string& bytes) {
   std::size_t done = 0;
   while (done < bytes.size()) {
@@ -156,12 +136,10 @@
 void Journal::Recover() {
   const std::string bytes = ReadAll(fd_);
   std::size_t good = 0;
-  while (bytes.size() - good >= kHeadBytes) {
-    const std::size_t size = ShortAt(bytes, good);
-    if (size > kLongestRecord || bytes.size() - good - kHeadBytes < size) break;
-    const std::string record = bytes.substr(good + kHeadBytes, size);
-    if (ChecksumOf(record) != ShortAt(bytes, good + 4) || !Apply(record)) break;
-    good += kHeadBytes + size;
+  for (;;) {
+    const net::FrameRead read = net::ReadFrame(std::string_view(bytes).substr(good), kLongestRecord);
+    if (read.state != net::FrameState::kWhole || !Apply(std::string(read.record))) break;
+    good += read.size;
   }
   lost_bytes_ = bytes.size() - good;
   // Danger: records appended behind a torn one would never be read again.
--- /dev/null
+++ b/src/learning/donor.h
@@ -0,0 +1,37 @@
+// The donor's side of learning: a TCP listener of its own. A learner asks; what this relay believes is
+// streamed to it in chunks, one bounded slice a turn of the event loop.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "config/limits.h"
+#include "learning/stream.h"
+#include "net/connection.h"
+#include "net/listener.h"
+
+namespace opalroute::learning {
+
+class Donor {
+ public:
+  Donor(net::EventLoop& loop, const sockaddr_in& listen, std::string name, Source source,
+        const Limits& limits);
+  ~Donor();
+  sockaddr_in address() const { return listener_.address(); }
+
+ private:
+  class Session;
+  void Accept(int fd);
+  void Drop(Session& session);
+
+  net::EventLoop& loop_;
+  const std::string name_;
+  const Source source_;
+  const Limits& limits_;
+  const Seconds started_;
+  std::map<Session*, std::unique_ptr<Session>> sessions_;
+  net::Listener listener_;
+};
+
+}  // namespace opalroute::learning
--- /dev/null
+++ b/src/learning/judge.h
@@ -0,0 +1,80 @@
+// Judges what a relay is handed of others' beliefs: how old each is, and what it still counts for. Pure: no
+// I/O, the clock is handed in. docs/learning.md has the reasons.
+//
+//   belief              counts                       until
+//   wait in force       in full, never stretched     its end, or longest_wait after it was told
+//   out since a         doubt: one call tries first  w = 2^(-a / 8.1 s) < 0.1, which is 27 s
+//   back since r        in full                      the ramp's end
+//   pace after refusal  in full                      0.4 of the ramp: by then it is regained
+//   latency             only as patience             60 s
+//   copies barred       in full                      w < 1/2, which is 8.1 s
+//
+// Two donors that contradict: for a wait the longest counts; a served call that one has seen after the bad
+// outcome of another makes 'out' into 'back'.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "learning/codec.h"
+
+namespace opalroute::learning {
+
+// The mean rest of an outage that is met at any moment, for outages of 6.5 to 23 s (the operators' brief, 2.2
+// and 2.3): E[L^2] / 2E[L] = 8.1 s.
+constexpr Seconds kHealthHalfLife = 8.1;
+constexpr double kBarredWeight = 0.5;
+constexpr double kLeastWeight = 0.1;
+constexpr double kPaceRegained = 0.4;  // of the ramp: after it the module allows its even share again
+constexpr Seconds kLatencyLasts = 60;
+
+// 1 for what was seen just now, next to nothing (0.006) after a minute.
+double HealthWeight(Seconds age);
+
+struct Rules {
+  Seconds longest_wait = 30;
+  Seconds ramp_time = 13;
+};
+
+// Why a belief was left out, or how much of it counted; printed in one log line.
+struct Tally {
+  int waits = 0, outages = 0, ramps = 0, paces = 0, latencies = 0, barred = 0;  // taken
+  int stale = 0, out_of_range = 0, waits_cut = 0, contradicted = 0, too_many = 0;
+  void Add(const Tally& other);
+  int taken() const { return waits + outages + ramps + paces + latencies + barred; }
+};
+
+class Judge {
+ public:
+  // Keeps at most `most` lanes: what comes beyond is counted and left out.
+  Judge(const Rules& rules, std::size_t most) : rules_(rules), most_(most) {}
+
+  // A belief as it was at the time `made`, by the caller's clock. `donor` tells the sources apart.
+  void Add(int donor, const Heard& heard, Seconds made);
+  void OutOfRange(int count) { tally_.out_of_range += count; }
+
+  // What of all this counts now. Every belief is weighed on its own lane.
+  std::vector<Heard> Decide(Seconds now);
+  const Tally& tally() const { return tally_; }
+  std::size_t lanes() const { return lanes_.size(); }
+
+ private:
+  struct Told {
+    int donor;
+    Seconds made;
+    Belief belief;
+  };
+  using Lane = std::pair<DestinationId, std::string>;
+  Belief Weigh(const std::vector<Told>& told, Seconds now);
+
+  const Rules rules_;
+  const std::size_t most_;
+  std::map<Lane, std::vector<Told>> lanes_;
+  Tally tally_;
+};
+
+}  // namespace opalroute::learning
--- /dev/null
+++ b/src/log/log.cpp
@@ -0,0 +1,55 @@
+#include "log/log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace opalroute::log {
+
+namespace {
+
+using nlohmann::json;
+
+Form form_in_use = Form::kText;
+
+std::string Dump(const json& value) { return value.dump(-1, ' ', true, json::error_handler_t::replace); }
+
+// A text that reads as one word needs no quotes.
+bool IsWord(const std::string& text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(),
+                                      [](char c) { return c > 0x20 && c < 0x7f && c != '"' && c != '='; });
+}
+
+}  // namespace
+
+void Start(Form form, Level level) {
+  form_in_use = form;
+  spdlog::set_default_logger(spdlog::stdout_logger_st("opalroute"));
+  spdlog::set_level(level);
+  spdlog::flush_on(Level::info);
+  spdlog::set_pattern(form == Form::kJson ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v)"
+                                          : "%Y-%m-%d %H:%M:%S.%e %l %v");
+}
+
+std::string Format(Form form, std::string_view event, Fields fields) {
+  if (form == Form::kJson) {
+    nlohmann::ordered_json line;
+    line["event"] = event;
+    for (const Field& field : fields) line[field.key] = field.value;
+    return line.dump(-1, ' ', true, json::error_handler_t::replace).substr(1);
+  }
+  std::string line(event);
+  for (const Field& field : fields) {
+    const bool bare = field.value.is_string() && IsWord(field.value.get_ref<const std::string&>());
+    line += std::string(" ") + field.key + "=" + (bare ? field.value.get<std::string>() : Dump(field.value));
+  }
+  return line;
+}
+
+void Write(Level level, std::string_view event, Fields fields) {
+  if (!spdlog::should_log(level)) return;
+  spdlog::log(level, "{}", Format(form_in_use, event, fields));
+}
+
+}  // namespace opalroute::log
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,5 @@
 // The relay program: reads its configuration, serves until it is told to stop, and says what it has done.
 #include <signal.h>
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -9,12 +7,16 @@
 #include <cstdlib>
 #include <exception>
 #include <functional>
+#include <iostream>
 #include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
 
+#include "cli/command_line.h"
+#include "cli/snapshot.h"
 #include "config/config.h"
+#include "log/log.h"
 #include "net/address.h"
 #include "net/event_loop.h"
 #include "relay/relay.h"
@@ -61,27 +63,41 @@
   return std::string(value);
 }
 
+int Run(const opalroute::Operator& settings) {
+  const sigset_t blocked = BlockSignals();
+  const opalroute::Config config = opalroute::config::Load(Variable);
+  const opalroute::net::SystemClock clock;
+  opalroute::net::EventLoop loop(clock);
+  opalroute::Relay relay(loop, config, settings);
+  const Signals signals(
+      loop, blocked, [&] { relay.Stop([&] { loop.Stop(); }); },
+      [&] { relay.Reload([] { return opalroute::config::Reload(Variable); }); });
+  opalroute::log::Info("listening",
+                       {{"name", config.name}, {"address", opalroute::net::FormatAddress(relay.address())}});
+  loop.Run();
+  opalroute::log::Info("counters", {{"all", relay.counters().ToJson()}});
+  return 0;
+}
+
 }  // namespace
 
-int main() {
-  spdlog::set_default_logger(spdlog::stdout_logger_st("opalroute"));
-  spdlog::flush_on(spdlog::level::info);
+int main(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
-  const sigset_t blocked = BlockSignals();
+  const opalroute::cli::Parsed parsed = opalroute::cli::Parse(argc, argv, Variable);
+  if (parsed.exits) return parsed.exit_code;
+  const opalroute::cli::Order& order = parsed.order;
+  if (order.command == opalroute::cli::Command::kSnapshot)
+    return opalroute::cli::Snapshot(order.snapshot_of, order.as_json);
+  if (order.command == opalroute::cli::Command::kCheck) return opalroute::cli::Check(order, Variable);
+  for (const std::string& fault : order.faults) std::cerr << fault << '\n';
+  if (!order.faults.empty()) return 2;
+  const opalroute::Operator& settings = order.settings;
+  opalroute::log::Start(settings.log_json ? opalroute::log::Form::kJson : opalroute::log::Form::kText,
+                        spdlog::level::from_str(settings.log_level));
   try {
-    const opalroute::Config config = opalroute::config::Load(Variable);
-    const opalroute::net::SystemClock clock;
-    opalroute::net::EventLoop loop(clock);
-    opalroute::Relay relay(loop, config);
-    const Signals signals(
-        loop, blocked, [&] { relay.Stop([&] { loop.Stop(); }); },
-        [&] { relay.Reload([] { return opalroute::config::Reload(Variable); }); });
-    spdlog::info("{} listens on {}", config.name, opalroute::net::FormatAddress(relay.address()));
-    loop.Run();
-    spdlog::info("counters {}", relay.counters().Print());
+    return Run(settings);
   } catch (const std::exception& error) {
-    spdlog::error("opalroute: {}", error.what());
+    opalroute::log::Error("not_started", {{"why", error.what()}});
     return 1;
   }
-  return 0;
 }
--- a/src/net/datagram.h
+++ b/src/net/datagram.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "net/event_loop.h"
+#include "net/listener.h"
 
 namespace opalroute::net {
 
@@ -18,6 +19,7 @@
   // Longer datagrams than `most` are neither sent nor taken.
   DatagramSocket(EventLoop& loop, const sockaddr_in& listen, std::size_t most, Taken taken);
   ~DatagramSocket() override;
+  sockaddr_in address() const { return BoundAddress(fd_); }
   bool Send(const sockaddr_in& to, const std::string& bytes);  // late, lost or false: nobody says
 
   void OnEvents(std::uint32_t events) override;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -143,16 +143,8 @@
 
 HttpServer::HttpServer(EventLoop& loop, const sockaddr_in& listen_at, const ServerBounds& bounds,
                        Handler& handler)
-    : loop_(loop),
-      bounds_(bounds),
-      handler_(handler),
-      fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
-  const int on = 1;
-  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&listen_at), sizeof(listen_at)) < 0 ||
-      listen(fd_, SOMAXCONN) < 0 || !loop_.Add(fd_, this)) {
-    throw std::system_error(errno, std::generic_category(), "listen");
-  }
+    : loop_(loop), bounds_(bounds), handler_(handler), fd_(OpenListener(listen_at)) {
+  if (!loop_.Add(fd_, this)) throw std::system_error(errno, std::generic_category(), "listen");
 }
 
 HttpServer::~HttpServer() {
@@ -162,13 +154,6 @@
   close(fd_);
 }
 
-sockaddr_in HttpServer::address() const {
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
-  return address;
-}
-
 void HttpServer::OnEvents(std::uint32_t) { Accept(); }
 
 // Danger: out of descriptors, accept fails and its edge is spent. So the table is bounded well below that:
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 
 #include "net/connection.h"
 #include "net/http.h"
+#include "net/listener.h"
 
 namespace opalroute::net {
 
@@ -46,7 +47,7 @@
   HttpServer(EventLoop& loop, const sockaddr_in& listen, const ServerBounds& bounds, Handler& handler);
   ~HttpServer() override;
 
-  sockaddr_in address() const;  // the port, too, if any was asked for
+  sockaddr_in address() const { return BoundAddress(fd_); }
   int connections() const { return static_cast<int>(clients_.size()); }
   void CloseAfterAnswers() { closing_ = true; }  // each connection, after its next answer
   void CloseIdle();                              // those between requests, now
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,50 @@
+#include "net/listener.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace opalroute::net {
+
+int OpenListener(const sockaddr_in& listen_at) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (fd >= 0 && bind(fd, reinterpret_cast<const sockaddr*>(&listen_at), sizeof(listen_at)) == 0 &&
+      listen(fd, SOMAXCONN) == 0)
+    return fd;
+  const int error = errno;
+  if (fd >= 0) close(fd);
+  throw std::system_error(error, std::generic_category(), "listen");
+}
+
+sockaddr_in BoundAddress(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return address;
+}
+
+Listener::Listener(EventLoop& loop, const sockaddr_in& listen_at, std::function<void(int fd)> accepted)
+    : loop_(loop), accepted_(std::move(accepted)), fd_(OpenListener(listen_at)) {
+  if (!loop_.Add(fd_, this)) throw std::system_error(errno, std::generic_category(), "listen");
+}
+
+Listener::~Listener() {
+  loop_.Remove(fd_);
+  close(fd_);
+}
+
+void Listener::OnEvents(std::uint32_t) {
+  for (;;) {
+    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
+    if (fd < 0) return;
+    accepted_(fd);
+  }
+}
+
+}  // namespace opalroute::net
--- a/src/parts.h
+++ b/src/parts.h
@@ -45,7 +45,11 @@
 
 struct Latency {  // smoothed mean; 0: nothing is known
   double mean = 0;
-  void Add(Seconds value, double gain) { mean = mean > 0 ? mean + gain * (value - mean) : value; }
+  Seconds at = -kNever;  // of the newest value
+  void Add(Seconds value, double gain, Seconds now) {
+    mean = mean > 0 ? mean + gain * (value - mean) : value;
+    at = now;
+  }
 };
 
 struct Attempt {
--- a/src/pool/discovery.cpp
+++ b/src/pool/discovery.cpp
@@ -1,8 +1,7 @@
 #include "pool/discovery.h"
 
-#include <spdlog/spdlog.h>
-
 #include "config/fields.h"
+#include "log/log.h"
 #include "net/address.h"
 
 namespace opalroute {
@@ -55,7 +54,7 @@
 std::optional<PoolNews> Discovery::Read(std::string_view text) {
   const json list = json::parse(text, nullptr, false);
   if (!list.is_discarded()) return ReadList(list);
-  spdlog::warn("discovery: a list of {} bytes is no JSON", text.size());
+  log::Warn("pool_list_unreadable", {{"bytes", text.size()}, {"why", "no JSON"}});
   return std::nullopt;
 }
 
@@ -69,7 +68,7 @@
     for (const json& row : rows) news.members.push_back(ReadMember(row));
     generation_ = generation;
   } catch (const config::FieldError& error) {
-    spdlog::warn("discovery: a list can't be read: {}", error.what());
+    log::Warn("pool_list_unreadable", {{"why", error.what()}});
     return std::nullopt;
   }
   return news;
@@ -152,7 +151,7 @@
 }
 
 void Discovery::EndWatch(const char* why) {
-  spdlog::warn("discovery: the watch has failed: {}", why);
+  log::Warn("pool_watch_failed", {{"why", why}});
   CloseWatch();
   listener_.OnPoolFailed();
 }
@@ -183,7 +182,7 @@
 void Discovery::OnBroken(net::HttpClient::Broken, int) { EndFetch("connection ended"); }
 
 void Discovery::EndFetch(const char* why) {
-  spdlog::warn("discovery: the whole list could not be had: {}", why);
+  log::Warn("pool_fetch_failed", {{"why", why}});
   loop_.Cancel(fetch_timer_);
   fetching_ = false;
   listener_.OnPoolFailed();
--- /dev/null
+++ b/src/relay/calls.cpp
@@ -0,0 +1,137 @@
+#include "relay/calls.h"
+
+#include <algorithm>
+
+namespace opalroute {
+
+Calls::Calls(net::EventLoop& loop, net::HttpClient& client, const Config& config, Counters& counters,
+             EndpointTable& endpoints, TransactionTable& transactions, ModuleDriver& driver,
+             std::function<void()> on_flow_over)
+    : loop_(loop),
+      client_(client),
+      config_(config),
+      counters_(counters),
+      endpoints_(endpoints),
+      transactions_(transactions),
+      driver_(driver),
+      on_flow_over_(std::move(on_flow_over)) {}
+
+void Calls::Gather(const Send& send) {
+  Transaction* t = transactions_.Find(send.message);
+  if (t == nullptr) return;
+  ServerFlow::Member member;
+  member.message = send.message;
+  member.attempt = static_cast<int>(t->journaled.size());
+  member.until = send.until > 0 ? std::min(send.until, t->deadline) : t->deadline;
+  member.id = t->id;
+  member.key = t->key;
+  member.body = t->body;
+  t->journaled.push_back(-1);
+  ++t->out;
+  const Kind& kind = config_.settings.kinds[endpoints_.At(send.endpoint).kind];
+  std::vector<Batch>& batches = gathered_[send.endpoint];
+  if (batches.empty() || batches.back().size() >= static_cast<std::size_t>(std::max(1, kind.bundle)))
+    batches.emplace_back();
+  batches.back().push_back(std::move(member));
+}
+
+void Calls::Start() {
+  for (auto& [endpoint, batches] : std::exchange(gathered_, {}))
+    for (Batch& batch : batches) StartFlow(endpoint, std::move(batch));
+}
+
+void Calls::Cancel(const opalroute::Cancel& cancel) {
+  const auto it = attempts_.find({cancel.message, cancel.attempt});
+  if (it != attempts_.end()) it->second->Cancel(cancel.message, cancel.attempt);
+}
+
+void Calls::StartFlow(EndpointId endpoint, Batch members) {
+  ++counters_.calls;
+  counters_.attempts += static_cast<long>(members.size());
+  ServerFlow::Owner& owner = *this;
+  EndpointTable::Endpoint& to = endpoints_.At(endpoint);
+  ++to.users;
+  auto owned = std::make_unique<ServerFlow>(loop_, client_, endpoint, to.address, std::move(members), owner);
+  ServerFlow* flow = owned.get();
+  flows_.emplace(flow, std::move(owned));
+  for (const ServerFlow::Member& m : flow->members()) attempts_[{m.message, m.attempt}] = flow;
+  flow->Start();
+}
+
+bool Calls::MayLeave(const ServerFlow& flow, const ServerFlow::Member& member) {
+  Transaction& t = transactions_.At(member.message);
+  // A wait may have been told, or a drain, while the call waited for its connection.
+  if (t.over || member.until <= loop_.Now() || !driver_.module().MayLeave(loop_.Now(), flow.endpoint())) {
+    ++counters_.not_left;
+    return false;
+  }
+  const EndpointTable::Endpoint& endpoint = endpoints_.At(flow.endpoint());
+  JournalAttempt attempt;
+  attempt.endpoint = endpoint.id;
+  attempt.zone = config_.zones.empty() ? "" : config_.zones[endpoint.zone];
+  attempt.sent_at = loop_.clock().WallMicros();
+  return transactions_.RecordAttempt(t, member.attempt,
+                                     attempt);  // what a restart would not know must not run
+}
+
+void Calls::Count(Outcome outcome) {
+  long* const counts[] = {&counters_.served,    &counters_.errors,         &counters_.full,
+                          &counters_.timeouts,  &counters_.connect_failed, &counters_.resets,
+                          &counters_.cancelled, &counters_.not_sent};
+  ++*counts[static_cast<int>(outcome)];
+}
+
+void Calls::OnOutcome(const ServerFlow&, const ServerFlow::Member& member, const AttemptOutcome& outcome) {
+  Transaction& t = transactions_.At(member.message);
+  attempts_.erase({member.message, member.attempt});
+  --t.out;
+  Count(outcome.outcome);
+  AttemptOutcome told = outcome;
+  told.over = outcome.over || t.over;
+  const bool never_ran = outcome.outcome == Outcome::kFull || outcome.outcome == Outcome::kConnectFailed ||
+                         outcome.outcome == Outcome::kNotSent;
+  if (!t.over && outcome.over) {
+    if (outcome.outcome == Outcome::kServed) ++counters_.delivered;
+    transactions_.End(t);
+  } else if (!t.over && never_ran) {
+    transactions_.RecordNeverRan(t, member.attempt);
+  }
+  driver_.Post(told);
+  transactions_.ForgetIfDone(member.message);
+}
+
+void Calls::EndUnasked(MessageId message) {
+  Transaction* t = transactions_.Find(message);
+  if (t == nullptr || t->over) return;
+  transactions_.End(*t);
+  driver_.Post(Withdrawn{message});
+  transactions_.ForgetIfDone(message);
+}
+
+void Calls::OnFlowOver(ServerFlow& flow) {
+  const auto it = flows_.find(&flow);
+  if (it == flows_.end()) return;
+  --endpoints_.At(flow.endpoint()).users;
+  loop_.Retire(std::move(it->second));
+  flows_.erase(it);
+  on_flow_over_();
+}
+
+void Calls::StartProbe(EndpointId endpoint) {
+  ++counters_.probes;
+  EndpointTable::Endpoint& to = endpoints_.At(endpoint);
+  ++to.users;
+  auto owned = std::make_unique<Probing>(loop_, client_, endpoint, to.address, config_.limits.connect_time,
+                                         [this](Probing& probe, const ProbeOutcome& outcome) {
+                                           --endpoints_.At(outcome.endpoint).users;
+                                           const auto it = probes_.find(&probe);
+                                           loop_.Retire(std::move(it->second));
+                                           probes_.erase(it);
+                                           driver_.Post(outcome);
+                                         });
+  Probing* probe = owned.get();
+  probes_.emplace(probe, std::move(owned));
+  probe->Start();
+}
+
+}  // namespace opalroute
--- a/src/relay/counters.h
+++ b/src/relay/counters.h
@@ -16,39 +16,39 @@
   long pool_news = 0, pool_failures = 0, journal_failures = 0, reloads = 0, reload_failures = 0;
   long endpoints = 0;  // known now
 
-  std::string Print() const {
-    const nlohmann::ordered_json out = {{"requests", requests},
-                                        {"taken_on", taken_on},
-                                        {"restored", restored},
-                                        {"bad_requests", bad_requests},
-                                        {"rejects_full", rejects_full},
-                                        {"rejects_disk", rejects_disk},
-                                        {"rejects_stopping", rejects_stopping},
-                                        {"withdrawn", withdrawn},
-                                        {"calls", calls},
-                                        {"attempts", attempts},
-                                        {"probes", probes},
-                                        {"not_left", not_left},
-                                        {"served", served},
-                                        {"errors", errors},
-                                        {"full", full},
-                                        {"timeouts", timeouts},
-                                        {"connect_failed", connect_failed},
-                                        {"resets", resets},
-                                        {"cancelled", cancelled},
-                                        {"not_sent", not_sent},
-                                        {"delivered", delivered},
-                                        {"given_up", given_up},
-                                        {"handed_back", handed_back},
-                                        {"notices_arrived", notices_arrived},
-                                        {"pool_news", pool_news},
-                                        {"pool_failures", pool_failures},
-                                        {"journal_failures", journal_failures},
-                                        {"reloads", reloads},
-                                        {"reload_failures", reload_failures},
-                                        {"endpoints", endpoints}};
-    return out.dump();
+  nlohmann::ordered_json ToJson() const {
+    return {{"requests", requests},
+            {"taken_on", taken_on},
+            {"restored", restored},
+            {"bad_requests", bad_requests},
+            {"rejects_full", rejects_full},
+            {"rejects_disk", rejects_disk},
+            {"rejects_stopping", rejects_stopping},
+            {"withdrawn", withdrawn},
+            {"calls", calls},
+            {"attempts", attempts},
+            {"probes", probes},
+            {"not_left", not_left},
+            {"served", served},
+            {"errors", errors},
+            {"full", full},
+            {"timeouts", timeouts},
+            {"connect_failed", connect_failed},
+            {"resets", resets},
+            {"cancelled", cancelled},
+            {"not_sent", not_sent},
+            {"delivered", delivered},
+            {"given_up", given_up},
+            {"handed_back", handed_back},
+            {"notices_arrived", notices_arrived},
+            {"pool_news", pool_news},
+            {"pool_failures", pool_failures},
+            {"journal_failures", journal_failures},
+            {"reloads", reloads},
+            {"reload_failures", reload_failures},
+            {"endpoints", endpoints}};
   }
+  std::string Print() const { return ToJson().dump(); }
 };
 
 }  // namespace opalroute
--- /dev/null
+++ b/src/relay/endpoint_table.cpp
@@ -0,0 +1,130 @@
+#include "relay/endpoint_table.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "log/log.h"
+#include "net/address.h"
+
+namespace opalroute {
+
+EndpointTable::EndpointTable(net::EventLoop& loop, net::HttpClient& client, const Config& config,
+                             Counters& counters)
+    : loop_(loop), client_(client), config_(config), counters_(counters) {}
+
+EndpointId EndpointTable::Intern(const std::string& id) {
+  const auto [it, fresh] = ids_.emplace(id, last_ + 1);
+  if (fresh) {
+    endpoints_[++last_].id = id;
+    unlisted_.insert(last_);
+    ++counters_.endpoints;
+  }
+  return it->second;
+}
+
+std::optional<EndpointId> EndpointTable::FindListed(const std::string& id) const {
+  const auto it = ids_.find(id);
+  if (it == ids_.end() || !endpoints_.at(it->second).listed) return std::nullopt;
+  return it->second;
+}
+
+void EndpointTable::Unlist(EndpointId id) {
+  Endpoint& endpoint = endpoints_.at(id);
+  if (!std::exchange(endpoint.listed, false)) return;
+  unlisted_.insert(id);
+  client_.CloseIdle({endpoint.address, id});
+  Served& served = destinations_[endpoint.destination];
+  --served.endpoints;
+  served.left_at = loop_.Now();
+}
+
+std::vector<EndpointId> EndpointTable::Unused() const {
+  std::vector<EndpointId> unused;
+  for (const EndpointId id : unlisted_)
+    if (endpoints_.at(id).users == 0) unused.push_back(id);
+  return unused;
+}
+
+void EndpointTable::Forget(const std::vector<EndpointId>& unused) {
+  for (const EndpointId id : unused) {
+    const Endpoint& endpoint = endpoints_.at(id);
+    if (endpoint.listed || endpoint.users > 0) continue;
+    client_.CloseIdle({endpoint.address, id});
+    const auto name = ids_.find(endpoint.id);
+    if (name != ids_.end() && name->second == id) ids_.erase(name);
+    endpoints_.erase(id);
+    unlisted_.erase(id);
+    --counters_.endpoints;
+  }
+}
+
+// Returns the endpoint that the list names, if it is of use.
+std::optional<EndpointId> EndpointTable::Place(const PoolMember& member, ListUpdate& update) {
+  const bool gone = member.state == PoolMember::State::kGone;
+  if (gone && ids_.count(member.id) == 0) return std::nullopt;
+  ListEntry entry;
+  entry.zone = IndexOf(config_.zones, member.zone);
+  entry.kind = IndexOf(config_.kinds, member.kind);
+  if (entry.zone < 0 || entry.kind < 0) {
+    log::Warn("pool_member_left_out", {{"endpoint", member.id},
+                                       {"zone", member.zone},
+                                       {"kind", member.kind},
+                                       {"why", "zone or kind is not in the settings"}});
+    return std::nullopt;
+  }
+  entry.endpoint = Intern(member.id);
+  entry.destination = member.destination;
+  entry.listing = gone                                           ? Listing::kGone
+                  : member.state == PoolMember::State::kDraining ? Listing::kDraining
+                                                                 : Listing::kInService;
+  entry.rating = member.weight;
+  Endpoint* endpoint = &endpoints_.at(entry.endpoint);
+  if (endpoint->listed && (endpoint->destination != entry.destination || endpoint->zone != entry.zone ||
+                           endpoint->kind != entry.kind)) {
+    // What serves something else now is another endpoint, whatever its name.
+    update.entries.push_back(
+        {entry.endpoint, endpoint->zone, endpoint->kind, endpoint->destination, Listing::kGone, 0});
+    Unlist(entry.endpoint);
+    ids_.erase(member.id);
+    if (gone) return std::nullopt;
+    entry.endpoint = Intern(member.id);
+    endpoint = &endpoints_.at(entry.endpoint);
+  }
+  const net::Peer before{endpoint->address, entry.endpoint};
+  if (net::FormatAddress(before.address) != net::FormatAddress(member.address)) client_.CloseIdle(before);
+  endpoint->zone = entry.zone;
+  endpoint->kind = entry.kind;
+  endpoint->address = member.address;
+  endpoint->destination = entry.destination;
+  if (!gone && !std::exchange(endpoint->listed, true)) {
+    unlisted_.erase(entry.endpoint);
+    ++destinations_[entry.destination].endpoints;
+  }
+  if (gone) Unlist(entry.endpoint);
+  update.entries.push_back(entry);
+  return entry.endpoint;
+}
+
+ListUpdate EndpointTable::Apply(const PoolNews& news, ListScope scope) {
+  ListUpdate update;
+  update.scope = scope;
+  std::set<EndpointId> named;
+  for (const PoolMember& member : news.members)
+    if (const auto id = Place(member, update)) named.insert(*id);
+  if (scope != ListScope::kChanges) {
+    std::vector<EndpointId> unnamed;
+    for (const auto& [id, endpoint] : endpoints_)
+      if (endpoint.listed && named.count(id) == 0) unnamed.push_back(id);
+    for (const EndpointId id : unnamed) Unlist(id);
+  }
+  // A destination that has just lost its last endpoint is about to get another, mostly.
+  for (auto it = destinations_.begin(); it != destinations_.end();) {
+    const Served& served = it->second;
+    const bool past = served.endpoints == 0 && served.left_at + config_.limits.destination_rest < loop_.Now();
+    it = past ? destinations_.erase(it) : std::next(it);
+  }
+  return update;
+}
+
+}  // namespace opalroute
--- /dev/null
+++ b/src/relay/endpoint_table.h
@@ -0,0 +1,72 @@
+// The endpoints that the pool's lists have named, and the destinations that they serve.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "opalroute/rules.h"
+#include "pool/pool_source.h"
+#include "relay/counters.h"
+
+namespace opalroute {
+
+class EndpointTable {
+ public:
+  struct Endpoint {
+    std::string id;
+    int zone = 0, kind = 0;
+    sockaddr_in address{};
+    DestinationId destination = 0;
+    bool listed = false;
+    int users = 0;  // flows and probes
+  };
+
+  // Closes idle connections of `client` to endpoints that leave or move.
+  EndpointTable(net::EventLoop& loop, net::HttpClient& client, const Config& config, Counters& counters);
+
+  // Takes a list over; returns the same for the decision module.
+  ListUpdate Apply(const PoolNews& news, ListScope scope);
+
+  EndpointId Intern(const std::string& id);  // gives a name a number, though no list has named it yet
+  std::optional<EndpointId> FindListed(const std::string& id) const;
+  Endpoint& At(EndpointId id) { return endpoints_.at(id); }
+  const Endpoint& At(EndpointId id) const { return endpoints_.at(id); }
+  net::Peer PeerOf(EndpointId id) const { return {endpoints_.at(id).address, id}; }
+  bool Serves(DestinationId destination) const { return destinations_.count(destination) > 0; }
+  bool empty() const { return destinations_.empty(); }
+
+  // Danger: lists name new endpoints all day, and what is kept of each would grow for good. The module has
+  // dropped an endpoint that is gone when a turn ends with no call or probe out there: those that were unused
+  // before the turn, and still are after it, are forgotten.
+  std::vector<EndpointId> Unused() const;
+  void Forget(const std::vector<EndpointId>& unused);
+
+ private:
+  struct Served {
+    int endpoints = 0;    // listed
+    Seconds left_at = 0;  // the last one of them
+  };
+  std::optional<EndpointId> Place(const PoolMember& member, ListUpdate& update);
+  void Unlist(EndpointId id);
+
+  net::EventLoop& loop_;
+  net::HttpClient& client_;
+  const Config& config_;
+  Counters& counters_;
+  std::unordered_map<std::string, EndpointId> ids_;
+  std::unordered_map<EndpointId, Endpoint> endpoints_;
+  EndpointId last_ = 0;
+  std::set<EndpointId> unlisted_;  // not forgotten yet: calls may be out there, and the module may know them
+  std::map<DestinationId, Served> destinations_;
+};
+
+}  // namespace opalroute
--- a/src/relay/notices.cpp
+++ b/src/relay/notices.cpp
@@ -1,9 +1,8 @@
 #include "relay/notices.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "log/log.h"
 #include "net/address.h"
 
 namespace opalroute {
@@ -58,7 +57,7 @@
   if (answer.status != 204 && !(unreadable && out_ == 1))
     return Failed(("answer " + std::to_string(answer.status)).c_str());
   // One line alone that can't be read will never be: the others must not wait for it.
-  if (unreadable) spdlog::error("notices: the platform can't read {}", waiting_.front().second);
+  if (unreadable) log::Error("notice_unreadable", {{"line", waiting_.front().second}});
   loop_.Cancel(timer_);
   sending_ = false;
   singly_ = singly_ && unreadable;
@@ -74,7 +73,7 @@
 void Notices::OnBroken(net::HttpClient::Broken, int) { Failed("connection failed"); }
 
 void Notices::Failed(const char* why) {
-  spdlog::warn("notices: {} wait, {}", waiting_.size(), why);
+  log::Warn("notices_wait", {{"lines", waiting_.size()}, {"why", why}});
   loop_.Cancel(timer_);
   sending_ = false;
   singly_ = true;  // until one has arrived
--- a/src/relay/server_flow.cpp
+++ b/src/relay/server_flow.cpp
@@ -1,7 +1,5 @@
 #include "relay/server_flow.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -11,6 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "log/log.h"
 #include "net/address.h"
 #include "net/base64.h"
 
@@ -198,7 +197,8 @@
     case 500:
       return SettleAll(Outcome::kError);
     default:
-      spdlog::error("endpoint {} answers {}", net::FormatAddress(to_), answer.status);
+      log::Error("endpoint_answer_unknown",
+                 {{"address", net::FormatAddress(to_)}, {"status", answer.status}});
       return SettleAll(Outcome::kError);  // it may have run, for all that is known
   }
 }
@@ -214,7 +214,7 @@
         states[id->get<std::string>()] = state->get<std::string>();
     }
   } else {
-    spdlog::error("endpoint {}: the answer to a batch can't be read", net::FormatAddress(to_));
+    log::Error("batch_answer_unreadable", {{"address", net::FormatAddress(to_)}});
   }
   for (Member& m : members_) {
     const std::string& state = states[m.id];
--- a/src/relay/virtual_server.cpp
+++ b/src/relay/virtual_server.cpp
@@ -1,11 +1,11 @@
 #include "relay/virtual_server.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <charconv>
 #include <string_view>
 
+#include "log/log.h"
+
 namespace opalroute {
 
 namespace {
@@ -35,12 +35,6 @@
   return found == 1;
 }
 
-std::optional<int> IndexOf(const std::vector<std::string>& names, const std::string& name) {
-  const auto it = std::find(names.begin(), names.end(), name);
-  if (it == names.end()) return std::nullopt;
-  return static_cast<int>(it - names.begin());
-}
-
 net::ServerBounds BoundsOf(const Limits& limits) {
   net::ServerBounds bounds;
   bounds.http = {limits.head_bytes, limits.header_count, limits.body_bytes};
@@ -90,7 +84,7 @@
   const std::string wrong = Read(request, taken);
   if (!wrong.empty()) {
     ++counters_.bad_requests;
-    spdlog::debug("client: {}", wrong);  // counted; bad clients must not fill the log
+    log::Debug("bad_request", {{"why", wrong}});  // counted; bad clients must not fill the log
     return Plain(400, wrong);
   }
   std::uint64_t ticket = 0;
@@ -136,12 +130,11 @@
     if (request.Count(name) > 1) return std::string(name) + ": stated more than once";
   out.id = text("X-Txn");
   if (!IsName(out.id, limits.name_bytes)) return "X-Txn: an id is missing, or not plain";
-  const auto message_class = IndexOf(config_.classes, text("X-Lane"));
-  if (!message_class) return "X-Lane: no such class";
-  out.message_class = *message_class;
+  out.message_class = IndexOf(config_.classes, text("X-Lane"));
+  if (out.message_class < 0) return "X-Lane: no such class";
   if (!config_.tenants.empty()) {
     out.tenant = IndexOf(config_.tenants, text("X-Org"));
-    if (!out.tenant) return "X-Org: no such tenant";
+    if (*out.tenant < 0) return "X-Org: no such tenant";
   }
   long milliseconds = 0;
   if (!ParseNumber<long>(text("X-Remaining-Ms"), milliseconds) || milliseconds < 0)
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -90,6 +90,7 @@
   int waiting_count = 0, held = 0, calls_out = 0;
   long first_sends = 0, copies = 0;
   bool copies_barred = false;
+  Seconds barred_at = -kNever;
   std::uint64_t last_turn = 0;
 };
 
@@ -116,6 +117,17 @@
            e->second.lane->held_until <= now;
   }
 
+  std::vector<Belief> Beliefs(Seconds now, std::optional<DestinationId>& from, int most) const {
+    std::vector<Belief> beliefs;
+    auto it = from ? destinations_.lower_bound(*from) : destinations_.end();
+    for (; it != destinations_.end() && most > 0; ++it, --most)
+      for (const Endpoint* e : it->second.endpoints)
+        if (IsApart(*e) || e == it->second.endpoints.front())
+          beliefs.push_back(BeliefOf(it->second, *e, now));
+    from = it == destinations_.end() ? std::nullopt : std::optional(it->first);
+    return beliefs;
+  }
+
  private:
   double Jitter() { return 1 - kJitter + 2 * kJitter * random_.Unit(); }
 
@@ -742,18 +754,20 @@
     if (r.outcome == Outcome::kServed) {
       e.unmet = false;
       e.latest_good = r.duration <= s_.classes[m.message_class].aim;
-      for (Latency* l : {&e.latency, &d.latency, &all_latency_}) l->Add(single, kLatencyGain);
+      for (Latency* l : {&e.latency, &d.latency, &all_latency_}) l->Add(single, kLatencyGain, now_);
       d.copies_barred = false;
       Served(e, now_ - r.duration);
     } else if (r.outcome == Outcome::kFull && news) {
       e.unmet = e.latest_good = false;
       d.copies_barred = true;
+      d.barred_at = now_;
       Refused(e, r.wait, now_ - r.duration);
     } else if (news && r.outcome != Outcome::kCancelled && r.outcome != Outcome::kNotSent) {
       const bool unconnected = r.outcome == Outcome::kConnectFailed;
       const Seconds usual = UsualLatency(d);
       if (unconnected && (usual <= 0 || r.duration < usual)) e.refused_at = now_;
-      if (r.outcome == Outcome::kTimeout) e.latency.Add(single, kLatencyGain);  // the next time-out is wider
+      if (r.outcome == Outcome::kTimeout)
+        e.latency.Add(single, kLatencyGain, now_);  // the next time-out is wider
       Failed(e, unconnected, now_ - r.duration);
     }
   }
@@ -947,6 +961,65 @@
     if (!key.empty()) AdvanceKey(key);
   }
 
+  // ---- beliefs: what couriers pass on to those that start ---------------------------------------
+
+  static bool IsApart(const Endpoint& e) { return e.lane == &e.own_lane; }
+
+  Belief BeliefOf(const Destination& d, const Endpoint& e, Seconds now) const {
+    const Lane& lane = *e.lane;
+    const auto age = [now](Seconds at) { return at > -kNever ? std::optional(now - at) : std::nullopt; };
+    Belief b{d.id, IsApart(e) ? e.endpoint : 0, std::max(0.0, lane.held_until - now)};
+    Seconds bad_at = InDoubt(lane) || lane.bad >= kBadToDoubt ? lane.bad_at : -kNever;
+    for (const Endpoint* other : d.endpoints)
+      if (other->lane == &lane && other->circuit == Circuit::kOpen)
+        bad_at = std::max(bad_at, other->opened_at);
+    if (lane.last_served < bad_at) b.out = age(bad_at);
+    if (lane.cold && lane.ramp_from < kNever) b.back = age(lane.ramp_from);
+    b.served = age(lane.last_served);
+    if (lane.limit > 0 && lane.pace < lane.limit) b.refused = age(lane.cut_at);
+    b.pace = lane.pace;
+    b.latency = (IsApart(e) ? e.latency : d.latency).mean;
+    b.measured = age((IsApart(e) ? e.latency : d.latency).at);
+    if (d.copies_barred) b.barred = age(d.barred_at);
+    return b;
+  }
+
+  void On(const Learned& learned) {
+    for (const Belief& b : learned.beliefs) {
+      const auto d = destinations_.find(b.destination);
+      if (d == destinations_.end()) continue;
+      for (Endpoint* e : d->second.endpoints)
+        if (b.endpoint == (IsApart(*e) ? e->endpoint : 0)) Believe(d->second, *e, b);
+    }
+  }
+
+  // Danger: hearsay may be wrong. As no bad outcome of our own is counted, a trial leaves within overload_for
+  // of a message, and a served one ends the doubt. A later served call of our own outweighs it.
+  void Believe(Destination& d, Endpoint& e, const Belief& b) {
+    Lane& lane = *e.lane;
+    lane.held_until = std::max(lane.held_until, now_ + b.wait);
+    IsBound(e);  // brings our own doubt up to date
+    if (b.out && now_ - *b.out > lane.last_served && !InDoubt(lane)) {
+      lane.cold = true;
+      lane.ramp_from = kNever;
+      lane.bad_at = std::max(lane.bad_at, now_ - *b.out);
+      TrySoon(lane);
+    } else if (b.back && !InDoubt(lane) && (!lane.cold || now_ - *b.back > lane.ramp_from)) {
+      lane.cold = true;
+      lane.ramp_from = now_ - *b.back;
+      lane.warming = {std::min(0.0, lane.warming.tokens), now_};
+    }
+    if (b.refused && lane.limit > 0 && b.pace < lane.pace) {
+      lane.pace = std::min(lane.pace, std::max(b.pace, kLeastPaceShare * EvenShare(lane)));
+      lane.cut_at = std::max(lane.cut_at, now_ - *b.refused);
+    }
+    Latency& latency = IsApart(e) ? e.latency : d.latency;
+    const Seconds longer = std::min(b.latency, longest_aim_);  // than what is taken for unknown ones
+    if (b.measured && latency.mean <= 0 && kTimeoutSpread * longer > longest_aim_)
+      latency = {longer, now_ - *b.measured};
+    if (b.barred && !std::exchange(d.copies_barred, true)) d.barred_at = now_ - *b.barred;
+  }
+
   void On(const Stopping& stop) { stop_at_ = now_ + stop.left; }
   void On(const PeerNote&) {}
   void On(const Wake& wake) {  // Danger: one that comes a rounding error early must not pass for one to come
@@ -988,4 +1061,8 @@
 
 bool Courier::MayLeave(Seconds now, EndpointId endpoint) const { return impl_->MayLeave(now, endpoint); }
 
+std::vector<Belief> Courier::Beliefs(Seconds now, std::optional<DestinationId>& from, int most) const {
+  return impl_->Beliefs(now, from, most);
+}
+
 }  // namespace opalroute
