A call served after a long told wait, but sent before it, is no return of its partner

When a partner shuts, calls that are out still come back served within a latency; the module (Served) took them for a return, cleared what the refusal with its wait of many seconds had counted, and at the end of the wait sent its whole line at a cold partner. A newcomer then learnt that all was well.

Change: while more than overloadForS of a told wait is left, a served call that was sent before the refusal clears nothing. Test seen failing before.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -781,8 +781,8 @@
     lane.refusals = 0;
     if (lane.limit <= 0) lane.pace *= 1.05;  // no limit is known: probe upwards
     IsBound(e);                              // brings doubt up to date
-    // Danger: what hung is served late, to many couriers at once. It clears no doubt: trials do.
-    if (InDoubt(lane) && sent < lane.bad_at) return;
+    // Danger: what hung, or was out as a lane shut, is served late, to many at once. It clears no doubt.
+    if (sent < lane.bad_at && (InDoubt(lane) || lane.held_until > now_ + s_.overload_for)) return;
     const bool outage = lane.cold || (lane.bad > 0 && now_ - e.opened_at >= s_.overload_for);
     const bool back = outage && IsTrial(e);
     lane.bad = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -685,5 +685,35 @@
   EXPECT_EQ(All<Send>().size(), 0U);
 }
 
+// Guards against a rush at the end of a told wait: calls that were out when a partner shut still come back
+// served, and say nothing of its return.
+TEST_F(CourierTest, ACallServedAfterALongWaitWasToldIsNoReturn) {
+  Settings s = TestSettings();
+  s.may_copy = false;
+  Start(s);
+  List({Entry(1, 1)});
+  Take(20, kSafeClass);
+  EndTurn();
+  Tell(20, 0, 1, Outcome::kServed);
+  now_ += 0.3;
+  Take(1, kSafeClass);
+  Take(2, kSafeClass);
+  EndTurn();
+  Tell(1, 0, 1, Outcome::kFull, 6, 0.05);
+  now_ += 0.1;
+  Tell(2, 0, 1, Outcome::kServed, 0, 0.15);  // sent before the refusal
+  const auto belief = [this] {
+    std::optional<DestinationId> from = 0;
+    return courier_->Beliefs(now_, from, 10).at(0);
+  };
+  EXPECT_TRUE(belief().out);
+  for (MessageId id = 3; id <= 12; ++id) Take(id, kSafeClass, 1, "", 200);
+  while (All<Send>().size() < 4 && now_ < 140) RunTo(now_ + 0.1);
+  const Send trial = All<Send>().back();
+  Tell(trial.message, 0, 1, Outcome::kServed);
+  EXPECT_FALSE(belief().out);
+  EXPECT_TRUE(belief().back);  // a slow start
+}
+
 }  // namespace
 }  // namespace opalroute
