--- /dev/null
+++ b/lab/auditor.cpp
@@ -0,0 +1,210 @@
+#include "lab/auditor.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace opalroute::lab {
+
+const char* NameOf(BreachKind kind) {
+  switch (kind) {
+    case BreachKind::kTwoAnswers:
+      return "two_answers";
+    case BreachKind::kNoAnswer:
+      return "no_answer";
+    case BreachKind::kAfterEnd:
+      return "sent_after_end";
+    case BreachKind::kUnsafeRepeat:
+      return "unsafe_repeat";
+    case BreachKind::kKeyedRepeat:
+      return "keyed_repeat";
+    case BreachKind::kRanTwice:
+      return "ran_twice";
+    case BreachKind::kKeyRanTwice:
+      return "key_ran_twice";
+    case BreachKind::kUnsafeRefused:
+      return "unsafe_refused";
+    case BreachKind::kInWait:
+      return "in_wait";
+    case BreachKind::kDrained:
+      return "drained";
+    case BreachKind::kForeign:
+      return "foreign_endpoint";
+    case BreachKind::kPushedOver:
+      return "pushed_over";
+  }
+  return "";
+}
+
+int Auditor::Count(BreachKind kind) const {
+  return static_cast<int>(
+      std::count_if(breaches_.begin(), breaches_.end(), [kind](const Breach& b) { return b.kind == kind; }));
+}
+
+std::string Auditor::TraceOf(const Message& message) const {
+  std::string trace;
+  for (const Attempt& a : message.attempts) {
+    char line[96];
+    std::snprintf(line, sizeof(line), "%ssent %.3f to %u%s", trace.empty() ? "" : ", ", a.sent,
+                  static_cast<unsigned>(a.endpoint),
+                  a.out            ? " (out)"
+                  : a.may_have_run ? " (may have run)"
+                                   : " (never ran)");
+    trace += line;
+  }
+  return trace;
+}
+
+void Auditor::Report(BreachKind kind, Seconds now, int relay, std::uint64_t message, EndpointId endpoint) {
+  const auto it = messages_.find(message);
+  breaches_.push_back(
+      {kind, now, relay, message, endpoint, it == messages_.end() ? "" : TraceOf(it->second)});
+}
+
+void Auditor::Taken(Seconds now, int relay, std::uint64_t message, std::uint64_t origin, int message_class,
+                    DestinationId destination, Seconds deadline) {
+  const auto [it, fresh] = messages_.try_emplace(
+      message, Message{relay, message_class, origin, destination, std::max(now, deadline), false, {}});
+  if (!fresh) {  // restored by the next process
+    it->second.relay = relay;
+    return;
+  }
+  deadlines_.insert({std::max(now, deadline) + rules_.answer_slack, message});
+}
+
+void Auditor::Ended(Seconds now, std::uint64_t message, End end) {
+  const auto it = messages_.find(message);
+  if (it == messages_.end() || it->second.over)
+    return Report(BreachKind::kTwoAnswers, now, it == messages_.end() ? -1 : it->second.relay, message, 0);
+  Message& m = it->second;
+  const MessageClass& c = classes_[static_cast<std::size_t>(m.message_class)];
+  const bool ran = std::any_of(m.attempts.begin(), m.attempts.end(),
+                               [](const Attempt& a) { return a.out || a.may_have_run; });
+  const bool binds = c.effect == Effect::kUnsafe || (c.effect == Effect::kKeyed && c.group != KeyGroup::kAll);
+  if (end == End::kRefused && ran && binds) Report(BreachKind::kUnsafeRefused, now, m.relay, message, 0);
+  m.over = true;
+  deadlines_.erase({m.deadline + rules_.answer_slack, message});
+  ForgetIfDone(message);
+}
+
+void Auditor::Until(Seconds now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first < now) {
+    const std::uint64_t id = deadlines_.begin()->second;
+    const Seconds at = deadlines_.begin()->first;
+    deadlines_.erase(deadlines_.begin());
+    const auto it = messages_.find(id);
+    if (it == messages_.end() || it->second.over) continue;
+    const auto excused = excused_.find(it->second.relay);
+    if (excused != excused_.end() && excused->second > at) {
+      deadlines_.insert({excused->second, id});
+      continue;
+    }
+    Report(BreachKind::kNoAnswer, at, it->second.relay, id, 0);
+    it->second.over = true;
+  }
+}
+
+void Auditor::CheckRepeat(Seconds now, int relay, std::uint64_t id, const Message& m, EndpointId endpoint) {
+  const MessageClass& c = classes_[static_cast<std::size_t>(m.message_class)];
+  if (c.effect == Effect::kSafe) return;
+  for (const Attempt& a : m.attempts) {
+    if (!a.out && !a.may_have_run) continue;
+    if (c.effect == Effect::kUnsafe) return Report(BreachKind::kUnsafeRepeat, now, relay, id, endpoint);
+    if (now > a.sent + c.key_window) Report(BreachKind::kKeyedRepeat, now, relay, id, endpoint);
+    return;
+  }
+}
+
+void Auditor::Sent(Seconds now, int relay, std::uint64_t id, EndpointId endpoint) {
+  const auto it = messages_.find(id);
+  if (it == messages_.end() || it->second.over)
+    return Report(BreachKind::kAfterEnd, now, relay, id, endpoint);
+  Message& m = it->second;
+  CheckRepeat(now, relay, id, m, endpoint);
+  m.attempts.push_back({now, endpoint});
+  const auto place = places_.find(endpoint);
+  if (place == places_.end() || place->second.destination != m.destination)
+    return Report(BreachKind::kForeign, now, relay, id, endpoint);
+  const auto drain = drains_.find({relay, endpoint});
+  if (drain != drains_.end() && now > drain->second + rules_.drain_grace)
+    Report(BreachKind::kDrained, now, relay, id, endpoint);
+  const auto wait = waits_.find({relay, place->second.lane});
+  if (wait != waits_.end() && now > wait->second.first && now < wait->second.second)
+    Report(BreachKind::kInWait, now, relay, id, endpoint);
+}
+
+void Auditor::Over(std::uint64_t message, int attempt, bool may_have_run) {
+  const auto it = messages_.find(message);
+  if (it == messages_.end() || attempt < 0 || attempt >= static_cast<int>(it->second.attempts.size())) return;
+  Attempt& a = it->second.attempts[static_cast<std::size_t>(attempt)];
+  a.out = false;
+  a.may_have_run = may_have_run;
+  ForgetIfDone(message);
+}
+
+void Auditor::ForgetIfDone(std::uint64_t id) {
+  const auto it = messages_.find(id);
+  if (it == messages_.end() || !it->second.over) return;
+  const auto& attempts = it->second.attempts;
+  if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; }))
+    messages_.erase(it);
+}
+
+void Auditor::Ran(Seconds now, std::uint64_t message) {
+  const auto it = messages_.find(message);
+  if (it == messages_.end()) return;
+  const Message& m = it->second;
+  const MessageClass& c = classes_[static_cast<std::size_t>(m.message_class)];
+  if (c.effect == Effect::kSafe) return;
+  const auto [first, fresh] = first_run_.try_emplace(m.origin, std::make_pair(now, message));
+  if (fresh) return;
+  if (c.effect == Effect::kUnsafe) return Report(BreachKind::kRanTwice, now, m.relay, message, 0);
+  if (now <= first->second.first + c.key_window) return;  // the partner has dropped it
+  // A keyed message of the widest group may be handed back though it may have run: what a client then hands
+  // in again too late is its own doing, and counted apart.
+  if (first->second.second != message) {
+    ++client_doubles_;
+    return;
+  }
+  Report(BreachKind::kKeyRanTwice, now, m.relay, message, 0);
+}
+
+void Auditor::Listed(EndpointId endpoint, DestinationId destination, std::uint64_t lane) {
+  places_[endpoint] = {destination, lane};
+}
+
+void Auditor::ToldDrain(Seconds now, int relay, EndpointId endpoint) {
+  drains_.try_emplace({relay, endpoint}, now);
+}
+
+void Auditor::ToldWait(Seconds now, int relay, std::uint64_t lane, Seconds wait) {
+  auto& known = waits_[{relay, lane}];
+  if (now + wait > known.second) known = {now, now + wait};
+}
+
+void Auditor::SawOutage(int relay, std::uint64_t lane) { informed_now_[lane].insert(relay); }
+
+void Auditor::ReachedCold(Seconds now, int relay, std::uint64_t lane, bool fell_over) {
+  std::deque<Weighed>& calls = cold_[lane];
+  const auto informed = informed_now_.find(lane);
+  calls.push_back({now, relay, informed != informed_now_.end() && informed->second.count(relay) > 0});
+  while (calls.front().at <= now - rules_.overload_for) calls.pop_front();
+  if (!fell_over) return;
+  const auto by_informed =
+      std::count_if(calls.begin(), calls.end(), [](const Weighed& w) { return w.informed; });
+  if (static_cast<double>(by_informed) < rules_.informed_part * static_cast<double>(calls.size())) return;
+  std::map<int, int> by_relay;
+  for (const Weighed& call : calls) ++by_relay[call.relay];
+  std::string trace = "calls within " + std::to_string(rules_.overload_for) + " s by relay:";
+  for (const auto& [number, count] : by_relay)
+    trace += " " + std::to_string(number) + ":" + std::to_string(count);
+  breaches_.push_back({BreachKind::kPushedOver, now, relay, 0, 0, trace});
+}
+
+void Auditor::RelayDied(int relay, Seconds excused) {
+  excused_[relay] = excused;
+  for (auto it = waits_.begin(); it != waits_.end();)
+    it = it->first.first == relay ? waits_.erase(it) : std::next(it);
+  for (auto& [lane, relays] : informed_now_) relays.erase(relay);
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/auditor.h
@@ -0,0 +1,124 @@
+// Watches both sides of a run and reports each broken rule with its trace. Pure: it is told facts, in the
+// order of time, and knows nothing of how a relay decides. docs/lab.md names the rules' sources.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "opalroute/rules.h"
+
+namespace opalroute::lab {
+
+enum class BreachKind {
+  kTwoAnswers,     // a message that was over was ended again
+  kNoAnswer,       // not over when its time was up, and some
+  kAfterEnd,       // sent though it was over
+  kUnsafeRepeat,   // an at-most-once message sent though an earlier call may have run
+  kKeyedRepeat,    // a keyed one sent after its window, though an earlier call may have run
+  kRanTwice,       // an at-most-once message took effect twice
+  kKeyRanTwice,    // a keyed one did, outside the window in which the partner drops repeats
+  kUnsafeRefused,  // the client was told that it may come again, though a call may have run
+  kInWait,         // sent to a lane in a wait that this relay was told
+  kDrained,        // sent to an endpoint longer after its drain was told than allowed
+  kForeign,        // sent to an endpoint of another destination, or one that no list has named
+  kPushedOver      // a returning lane fell over, two thirds of it by relays that had seen the outage
+};
+const char* NameOf(BreachKind kind);
+
+struct Breach {
+  BreachKind kind{};
+  Seconds at = 0;
+  int relay = -1;
+  std::uint64_t message = 0;
+  EndpointId endpoint = 0;
+  std::string trace;  // what happened before, one line
+};
+
+class Auditor {
+ public:
+  struct Rules {
+    Seconds answer_slack = 0.07;  // past a message's time
+    Seconds drain_grace = 2;
+    Seconds wait_grace = 0.1;  // calls that arrive so soon after a wait was told had left before
+    double informed_part = 2.0 / 3;
+    Seconds overload_for = 2;
+  };
+  Auditor(const Rules& rules, std::vector<MessageClass> classes)
+      : rules_(rules), classes_(std::move(classes)) {}
+
+  // `origin`: the same for all handings-in of one message of a client.
+  void Taken(Seconds now, int relay, std::uint64_t message, std::uint64_t origin, int message_class,
+             DestinationId destination, Seconds deadline);
+  enum class End { kDelivered, kRefused, kFailed, kWithdrawn };
+  void Ended(Seconds now, std::uint64_t message, End end);
+  void Sent(Seconds now, int relay, std::uint64_t message, EndpointId endpoint);
+  // An attempt is over: whether it may have run. `attempt` counts as it was sent, from 0.
+  void Over(std::uint64_t message, int attempt, bool may_have_run);
+  void Ran(Seconds now, std::uint64_t message);  // at the partner
+  // The time of each message is checked once it is past.
+  void Until(Seconds now);
+
+  void Listed(EndpointId endpoint, DestinationId destination, std::uint64_t lane);
+  void ToldDrain(Seconds now, int relay, EndpointId endpoint);
+  void ToldWait(Seconds now, int relay, std::uint64_t lane, Seconds wait);
+  void SawOutage(int relay, std::uint64_t lane);  // a call or probe failed, or was refused, while it lasted
+  void OutageEnds(std::uint64_t lane) { informed_now_.erase(lane); }  // a new one has to be seen anew
+  void ReachedCold(Seconds now, int relay, std::uint64_t lane, bool fell_over);
+  // Ends its waits and what it knew. What it held may be answered late until `excused`.
+  void RelayDied(int relay, Seconds excused);
+
+  const std::vector<Breach>& breaches() const { return breaches_; }
+  int Count(BreachKind kind) const;
+  long client_doubles() const { return client_doubles_; }  // keyed ones, by a client that came again too late
+  std::size_t open() const { return messages_.size(); }
+
+ private:
+  struct Attempt {
+    Seconds sent;
+    EndpointId endpoint;
+    bool out = true, may_have_run = true;
+  };
+  struct Message {
+    int relay, message_class;
+    std::uint64_t origin;
+    DestinationId destination;
+    Seconds deadline;
+    bool over = false;
+    std::vector<Attempt> attempts;
+  };
+  struct Place {
+    DestinationId destination;
+    std::uint64_t lane;
+  };
+  struct Weighed {
+    Seconds at;
+    int relay;
+    bool informed;
+  };
+  void Report(BreachKind kind, Seconds now, int relay, std::uint64_t message, EndpointId endpoint);
+  void CheckRepeat(Seconds now, int relay, std::uint64_t id, const Message& message, EndpointId endpoint);
+  void ForgetIfDone(std::uint64_t id);
+  std::string TraceOf(const Message& message) const;
+
+  const Rules rules_;
+  const std::vector<MessageClass> classes_;
+  std::unordered_map<std::uint64_t, Message> messages_;
+  std::set<std::pair<Seconds, std::uint64_t>> deadlines_;
+  // By origin, of keyed and unsafe ones: when, and by which handing-in.
+  std::unordered_map<std::uint64_t, std::pair<Seconds, std::uint64_t>> first_run_;
+  long client_doubles_ = 0;
+  std::unordered_map<EndpointId, Place> places_;
+  std::map<std::pair<int, EndpointId>, Seconds> drains_;
+  std::map<std::pair<int, std::uint64_t>, std::pair<Seconds, Seconds>> waits_;  // told at, until
+  std::map<std::uint64_t, std::set<int>> informed_now_;
+  std::map<std::uint64_t, std::deque<Weighed>> cold_;
+  std::map<int, Seconds> excused_;
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,268 @@
+// opalroute-lab: the laboratory's command line.
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "config/fields.h"
+#include "lab/simulation.h"
+#include "lab/statistics.h"
+
+namespace {
+
+using namespace opalroute::lab;
+using nlohmann::json;
+
+double WallSeconds() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+long PeakMegabytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss / 1024;
+}
+
+json ReadJson(const std::string& path) {
+  std::ifstream stream(path);
+  if (!stream) throw opalroute::config::FieldError("the scenario '" + path + "' can't be read");
+  try {
+    return json::parse(stream);
+  } catch (const json::parse_error& error) {
+    throw opalroute::config::FieldError("the scenario '" + path + "' is no JSON at byte " +
+                                        std::to_string(error.byte));
+  }
+}
+
+// `FILE` or `FILE,key=value,...`, then what --set says.
+Scenario ReadWith(const std::string& what, const std::vector<std::string>& sets) {
+  std::vector<std::string> parts = CLI::detail::split(what, ',');
+  json file = ReadJson(parts[0]);
+  for (std::size_t i = 1; i < parts.size(); ++i) SetByPath(file, parts[i]);
+  for (const std::string& set : sets) SetByPath(file, set);
+  return ReadScenario(file);
+}
+
+// Runs that share nothing, so many at once. On a terminal it says how far they are.
+std::vector<RunResult> PlayAll(const std::vector<std::pair<const Scenario*, std::uint64_t>>& runs, int jobs) {
+  std::vector<RunResult> results(runs.size());
+  std::atomic<std::size_t> next{0}, done{0};
+  std::mutex printing;
+  const bool shows = isatty(STDERR_FILENO) != 0;
+  const auto work = [&] {
+    for (std::size_t i = next++; i < runs.size(); i = next++) {
+      results[i] = Simulation(*runs[i].first, runs[i].second).Run();
+      const std::lock_guard<std::mutex> lock(printing);
+      ++done;
+      if (shows) std::fprintf(stderr, "\r%zu of %zu runs", done.load(), runs.size());
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < std::min<int>(jobs, static_cast<int>(runs.size())); ++i) threads.emplace_back(work);
+  for (std::thread& thread : threads) thread.join();
+  if (shows) std::fprintf(stderr, "\r                        \r");
+  return results;
+}
+
+void Print(const RunResult& r) {
+  std::printf("%s, seed %llu: worth %.4f, worst ten seconds %.4f\n", r.scenario.c_str(),
+              static_cast<unsigned long long>(r.seed), r.Worth(), r.WorstTenSeconds());
+  std::printf("%-16s %8s %10s %8s %8s %8s %8s %8s\n", "class", "asked", "delivered", "in aim", "p50 s",
+              "p99 s", "p99.9 s", "worth");
+  for (const ClassOutcome& c : r.classes)
+    std::printf("%-16s %8ld %10ld %8ld %8.3f %8.3f %8.3f %8.4f\n", c.name.c_str(), c.asked, c.delivered,
+                c.in_aim, c.latency.At(0.5), c.latency.At(0.99), c.latency.At(0.999),
+                c.worth_asked > 0 ? c.worth / c.worth_asked : 0);
+  std::printf(
+      "calls %ld (full %ld, errors %ld, timed out %ld, unconnected %ld, reset %ld), probes %ld, refused %ld, "
+      "failed %ld, collapses %ld\n",
+      r.calls, r.full, r.errors, r.timeouts, r.unconnected, r.resets, r.probes, r.refused, r.failed,
+      r.collapses);
+  for (std::size_t i = 0; i < r.breaches.size() && i < 10; ++i) {
+    const Breach& b = r.breaches[i];
+    std::printf("BREACH %s at %.3f s, relay %d, message %llu, endpoint %u: %s\n", NameOf(b.kind), b.at,
+                b.relay, static_cast<unsigned long long>(b.message), static_cast<unsigned>(b.endpoint),
+                b.trace.c_str());
+  }
+  if (r.breaches.size() > 10) std::printf("... %zu breaches in all\n", r.breaches.size());
+}
+
+int Run(const std::string& what, const std::vector<std::string>& sets, std::uint64_t seed,
+        const std::string& out) {
+  const Scenario scenario = ReadWith(what, sets);
+  const bool shows = isatty(STDERR_FILENO) != 0;
+  const double began = WallSeconds();
+  Simulation simulation(scenario, seed);
+  const RunResult result = simulation.Run([&](double second) {
+    if (shows) std::fprintf(stderr, "\r%.0f of %.0f s", second, scenario.lasts);
+  });
+  if (shows) std::fprintf(stderr, "\r                    \r");
+  Print(result);
+  std::printf("%ld events in %.2f s, peak memory %ld MB\n", result.events, WallSeconds() - began,
+              PeakMegabytes());
+  if (!out.empty()) {
+    std::filesystem::create_directories(out);
+    std::ofstream(out + "/result.json") << result.ToJson().dump(1) << '\n';
+  }
+  return result.breaches.empty() ? 0 : 1;
+}
+
+struct Figure {
+  const char* name;
+  double (*of)(const RunResult&);
+};
+const std::vector<Figure> kFigures = {
+    {"worth", [](const RunResult& r) { return r.Worth(); }},
+    {"worst ten seconds", [](const RunResult& r) { return r.WorstTenSeconds(); }},
+    {"calls", [](const RunResult& r) { return static_cast<double>(r.calls); }},
+    {"calls answered full", [](const RunResult& r) { return static_cast<double>(r.full); }},
+    {"refused", [](const RunResult& r) { return static_cast<double>(r.refused); }},
+    {"p99 s of the first class", [](const RunResult& r) { return r.classes[0].latency.At(0.99); }},
+    {"collapses", [](const RunResult& r) { return static_cast<double>(r.collapses); }},
+    {"breaches", [](const RunResult& r) { return static_cast<double>(r.breaches.size()); }}};
+
+int Compare(const std::string& a, const std::string& b, const std::vector<std::string>& sets, int seeds,
+            int jobs) {
+  const Scenario first = ReadWith(a, sets), second = ReadWith(b, sets);
+  std::vector<std::pair<const Scenario*, std::uint64_t>> runs;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    runs.emplace_back(&first, seed);
+    runs.emplace_back(&second, seed);
+  }
+  const std::vector<RunResult> results = PlayAll(runs, jobs);
+  std::printf("%d seeds, pairwise; B - A with its 95%% interval\n", seeds);
+  std::printf("%-26s %12s %12s %12s %27s\n", "figure", "A", "B", "B - A", "interval");
+  bool breach = false;
+  for (const Figure& figure : kFigures) {
+    std::vector<double> of_a, of_b, differences;
+    for (std::size_t i = 0; i < results.size(); i += 2) {
+      of_a.push_back(figure.of(results[i]));
+      of_b.push_back(figure.of(results[i + 1]));
+      differences.push_back(of_b.back() - of_a.back());
+    }
+    const Interval interval = Bootstrap(differences);
+    std::printf("%-26s %12.4f %12.4f %12.4f %12.4f to %11.4f%s\n", figure.name, Median(of_a), Median(of_b),
+                interval.median, interval.low, interval.high, interval.differs() ? "" : "  no difference");
+  }
+  for (const RunResult& result : results) breach = breach || !result.breaches.empty();
+  return breach ? 1 : 0;
+}
+
+int Sweep(const std::string& what, const std::string& key, const std::vector<std::string>& values, int seeds,
+          int jobs) {
+  std::vector<Scenario> scenarios;
+  for (const std::string& value : values) scenarios.push_back(ReadWith(what, {key + "=" + value}));
+  std::vector<std::pair<const Scenario*, std::uint64_t>> runs;
+  for (const Scenario& scenario : scenarios)
+    for (int seed = 1; seed <= seeds; ++seed) runs.emplace_back(&scenario, seed);
+  const std::vector<RunResult> results = PlayAll(runs, jobs);
+  std::printf("medians of %d seeds\n%-16s", seeds, key.c_str());
+  for (const Figure& figure : kFigures) std::printf(" %24s", figure.name);
+  std::printf("\n");
+  for (std::size_t v = 0; v < values.size(); ++v) {
+    std::printf("%-16s", values[v].c_str());
+    for (const Figure& figure : kFigures) {
+      std::vector<double> all;
+      for (int i = 0; i < seeds; ++i)
+        all.push_back(figure.of(results[v * static_cast<std::size_t>(seeds) + static_cast<std::size_t>(i)]));
+      std::printf(" %24.4f", Median(all));
+    }
+    std::printf("\n");
+  }
+  return std::any_of(results.begin(), results.end(),
+                     [](const RunResult& r) { return !r.breaches.empty() ? true : false; })
+             ? 1
+             : 0;
+}
+
+// The hold model of the literature on event queues: each event that leaves puts one in, at a drawn time after
+// it.
+template <typename Queue>
+double Hold(std::size_t events, bool clumped) {
+  Queue queue;
+  pcg32 random(7, 5);
+  // As in a run: most go to the next few milliseconds, some seconds ahead.
+  const auto ahead = [&] {
+    const std::uint32_t draw = random();
+    return clumped ? Micros(draw % 8 == 0 ? draw % 8'000'000 : draw % 5'000) : Micros(draw % 1'000'000);
+  };
+  for (std::size_t i = 0; i < events; ++i) queue.Push(ahead(), static_cast<std::uint32_t>(i));
+  constexpr int kHolds = 2'000'000;
+  const double began = WallSeconds();
+  for (int i = 0; i < kHolds; ++i) {
+    const auto event = queue.Pop();
+    queue.Push(event.at + ahead(), event.payload);
+  }
+  return (WallSeconds() - began) / kHolds * 1e9;
+}
+
+int Queues() {
+  struct Large {
+    std::uint64_t words[4];
+    Large(std::uint32_t value = 0) : words{value, 0, 0, 0} {}
+  };
+  std::printf(
+      "ns for one event out and one in\n| events | times | binary heap | calendar queue "
+      "|\n|---|---|---|---|\n");
+  for (const std::size_t events : {1000U, 10000U, 100000U, 1000000U})
+    for (const bool clumped : {false, true})
+      std::printf("| %zu | %s | %.0f | %.0f |\n", events, clumped ? "as in a run" : "even",
+                  Hold<HeapQueue<Large>>(events, clumped), Hold<CalendarQueue<Large>>(events, clumped));
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"The laboratory: plays scenarios in simulated time and says what came of them."};
+  app.name("opalroute-lab");
+  app.require_subcommand(1);
+  std::string what, other, out, key;
+  std::vector<std::string> sets, values;
+  std::uint64_t seed = 1;
+  int seeds = 20, jobs = static_cast<int>(std::max(1U, std::thread::hardware_concurrency()));
+  CLI::App* run = app.add_subcommand("run", "play a scenario once; exit status 1 on a breach of a rule");
+  run->add_option("SCENARIO", what, "a file, or FILE,key=value,...")->required();
+  run->add_option("--seed", seed, "of everything drawn");
+  run->add_option("--set", sets, "key=value, like load.rate=30");
+  run->add_option("--out", out, "folder for result.json");
+  CLI::App* compare =
+      app.add_subcommand("compare", "play two scenarios, or one with two settings, on the same seeds");
+  compare->add_option("A", what, "a file, or FILE,key=value,...")->required();
+  compare->add_option("B", other, "the same")->required();
+  compare->add_option("--seeds", seeds)->check(CLI::Range(2, 10000));
+  compare->add_option("--jobs", jobs, "runs at once")->check(CLI::Range(1, 256));
+  compare->add_option("--set", sets, "for both");
+  CLI::App* sweep = app.add_subcommand("sweep", "play a scenario with several values of a key");
+  sweep->add_option("SCENARIO", what)->required();
+  sweep->add_option("KEY", key)->required();
+  sweep->add_option("VALUES", values)->required();
+  sweep->add_option("--seeds", seeds)->check(CLI::Range(1, 10000));
+  sweep->add_option("--jobs", jobs)->check(CLI::Range(1, 256));
+  CLI::App* check = app.add_subcommand("check", "read a scenario and print every fault");
+  check->add_option("SCENARIO", what)->required();
+  CLI::App* queues = app.add_subcommand("queues", "measure the event queues");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (*run) return Run(what, sets, seed, out);
+    if (*compare) return Compare(what, other, sets, seeds, jobs);
+    if (*sweep) return Sweep(what, key, values, seeds, jobs);
+    if (*queues) return Queues();
+    ReadWith(what, {});
+    std::printf("the scenario is sound\n");
+    return 0;
+  } catch (const opalroute::config::Faults& faults) {
+    for (const std::string& fault : faults.all()) std::fprintf(stderr, "%s\n", fault.c_str());
+  } catch (const std::exception& error) { std::fprintf(stderr, "%s\n", error.what()); }
+  (void)check;
+  return 2;
+}
--- /dev/null
+++ b/lab/scenario.cpp
@@ -0,0 +1,350 @@
+#include "lab/scenario.h"
+
+#include <cmath>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "config/fields.h"
+
+namespace opalroute::lab {
+
+namespace {
+
+using config::Collector;
+using config::FieldError;
+using nlohmann::json;
+
+// Reads one object: each key once, and at the end those that nobody asked for are faults.
+class Reader {
+ public:
+  Reader(const json& object, std::string path, Collector& faults)
+      : object_(object), path_(std::move(path)), faults_(faults) {
+    if (!object_.is_object()) Fault("", "must be an object");
+  }
+  ~Reader() {
+    if (!object_.is_object()) return;
+    for (const auto& [key, value] : object_.items())
+      if (known_.count(key) == 0) Fault(key, "is not known");
+  }
+  Reader(const Reader&) = delete;
+  Reader& operator=(const Reader&) = delete;
+
+  void Number(const char* key, double& to, double least, double most) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    if (!value->is_number() || value->get<double>() < least || value->get<double>() > most)
+      return Fault(key, "must be a number from " + json(least).dump() + " to " + json(most).dump());
+    to = value->get<double>();
+  }
+  void Whole(const char* key, int& to, int least, int most) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    if (!value->is_number_integer() || value->get<double>() < least || value->get<double>() > most)
+      return Fault(key,
+                   "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    to = value->get<int>();
+  }
+  void Span(const char* key, Range& to, double least, double most) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    const bool pair =
+        value->is_array() && value->size() == 2 && (*value)[0].is_number() && (*value)[1].is_number();
+    if (!pair || (*value)[0].get<double>() < least || (*value)[1].get<double>() > most ||
+        (*value)[0].get<double>() > (*value)[1].get<double>())
+      return Fault(key, "must be two numbers, the lesser first, from " + json(least).dump() + " to " +
+                            json(most).dump());
+    to = {(*value)[0].get<double>(), (*value)[1].get<double>()};
+  }
+  void YesNo(const char* key, bool& to) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    if (!value->is_boolean()) return Fault(key, "must be true or false");
+    to = value->get<bool>();
+  }
+  void Text(const char* key, std::string& to) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    if (!value->is_string()) return Fault(key, "must be a text");
+    to = value->get<std::string>();
+  }
+  template <typename T>
+  void Word(const char* key, T& to, const std::vector<std::pair<const char*, T>>& words) {
+    std::string word;
+    const json* value = Find(key);
+    if (value == nullptr) return Fault(key, "is missing");
+    std::string all;
+    for (const auto& [name, meaning] : words) {
+      if (*value == name) {
+        to = meaning;
+        return;
+      }
+      all += (all.empty() ? "" : ", ") + std::string(name);
+    }
+    Fault(key, "must be one of " + all);
+  }
+  template <typename Read>
+  void Object(const char* key, const Read& read) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    Reader inner(*value, PathOf(key), faults_);
+    read(inner);
+  }
+  template <typename Read>
+  void Each(const char* key, const Read& read) {
+    const json* value = Find(key);
+    if (value == nullptr) return;
+    if (!value->is_array()) return Fault(key, "must be an array");
+    for (std::size_t i = 0; i < value->size(); ++i) {
+      Reader inner((*value)[i], PathOf(key) + "[" + std::to_string(i) + "]", faults_);
+      read(inner);
+    }
+  }
+  bool Has(const char* key) const { return object_.is_object() && object_.contains(key); }
+  void Fault(const std::string& key, const std::string& what) {
+    faults_.Try([&] { throw FieldError("'" + (key.empty() ? path_ : PathOf(key)) + "' " + what); });
+  }
+  const json* Find(const char* key) {
+    known_.insert(key);
+    return object_.is_object() && object_.contains(key) ? &object_[key] : nullptr;
+  }
+
+ private:
+  std::string PathOf(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
+
+  const json& object_;
+  const std::string path_;
+  Collector& faults_;
+  std::set<std::string> known_;
+};
+
+constexpr double kDay = 86400;
+
+Settings DefaultSettings() {
+  Settings s;
+  s.slots = 0;  // 0: reckoned from the load
+  s.room = 0;
+  s.most_tries = 12;
+  s.may_cancel = s.may_copy = s.may_probe = s.may_advise_wait = true;
+  s.rating = RatingMeaning::kRough;
+  s.over_share_worth = 0.2;
+  s.longest_wait = 3;
+  s.tick = 0.005;
+  s.ask_within = 10;
+  s.overload_for = 2;
+  s.overload_factor = 2;
+  s.cold_from = 0.22;
+  s.ramp_time = 13;
+  return s;
+}
+
+// The operators' three classes, with their shares of the messages.
+std::vector<ClassPlan> DefaultClasses() {
+  const auto plan = [](const char* name, Effect effect, double window, double aim, double deadline,
+                       double late, double worth, double share) {
+    ClassPlan c;
+    c.name = name;
+    c.rules = {effect, KeyGroup::kAll, window, aim, deadline, late, worth, false};
+    c.share = share;
+    return c;
+  };
+  return {plan("board-status", Effect::kSafe, 0, 0.8, 8, 0.1, 1, 0.55),
+          plan("notice-order", Effect::kKeyed, 12, 2, 20, 0.5, 1, 0.26),
+          plan("payment", Effect::kUnsafe, 0, 2, 16, 0.5, 3, 0.19)};
+}
+
+void ReadClasses(Reader& root, Scenario& s) {
+  if (!root.Has("classes")) {
+    s.classes = DefaultClasses();
+    return;
+  }
+  root.Each("classes", [&](Reader& r) {
+    ClassPlan c;
+    c.rules = {Effect::kSafe, KeyGroup::kAll, 12, 1, 8, 0.5, 1, false};
+    r.Text("name", c.name);
+    r.Number("share", c.share, 0, 1);
+    r.Word<Effect>(
+        "effect", c.rules.effect,
+        {{"idempotent", Effect::kSafe}, {"deduplicated", Effect::kKeyed}, {"at_most_once", Effect::kUnsafe}});
+    r.Number("key_window_s", c.rules.key_window, 0, kDay);
+    r.Number("aim_s", c.rules.aim, 0.001, kDay);
+    r.Number("deadline_s", c.rules.deadline, 0.01, kDay);
+    r.Number("late_share", c.rules.late_share, 0, 1);
+    r.Number("worth", c.rules.worth, 0, 1000);
+    s.classes.push_back(c);
+  });
+  if (s.classes.empty()) root.Fault("classes", "must name one at least");
+}
+
+void ReadPartners(Reader& root, Scenario& s) {
+  root.Object("partners", [&](Reader& r) {
+    Scenario::Partners& p = s.partners;
+    r.Whole("count", p.count, 1, 100000);
+    r.Span("endpoints", p.endpoints, 1, 64);
+    r.Number("zipf", p.zipf, 0, 5);
+    r.Number("apart", p.apart, 0, 1);
+    r.Whole("bundle", p.bundle, 1, 64);
+    r.Span("latency_s", p.latency, 0.0001, 60);
+    r.Number("latency_cv", p.latency_cv, 0, 5);
+    r.Span("headroom", p.headroom, 0, 1000);
+    r.Number("least_limit", p.least_limit, 0.01, 1e6);
+    r.Number("window_share", p.window_share, 0, 1);
+    r.Number("window_s", p.window, 0.01, 60);
+    r.Span("tells_wait", p.tells_wait, 0, 1);
+    r.Span("wait_s", p.wait, 0, 60);
+    r.YesNo("refused_count", p.refused_count);
+    r.Number("spare", p.spare, 1, 100);
+  });
+}
+
+void ReadLoad(Reader& root, Scenario& s) {
+  root.Object("load", [&](Reader& r) {
+    r.Number("rate", s.load.rate, 0.01, 1e6);
+    r.Number("clump_share", s.load.clump_share, 0, 1);
+    r.Span("clump_s", s.load.clump, 0.01, 60);
+    r.Each("bursts", [&](Reader& b) {
+      Burst burst;
+      b.Number("from_s", burst.from, 0, kDay);
+      b.Number("lasts_s", burst.lasts, 0, kDay);
+      b.Number("times", burst.times, 1, 100);
+      b.Whole("hot_partners", burst.hot_partners, 0, s.partners.count);
+      s.load.bursts.push_back(burst);
+    });
+  });
+  root.Object("clients", [&](Reader& r) {
+    r.Whole("retries", s.clients.retries, 0, 100);
+    r.Span("wait_s", s.clients.wait, 0, 60);
+  });
+}
+
+void ReadTroubles(Reader& root, Scenario& s) {
+  root.Each("troubles", [&](Reader& r) {
+    Trouble t;
+    r.Word<TroubleKind>("kind", t.kind,
+                        {{"shut", TroubleKind::kShut},
+                         {"refuse", TroubleKind::kRefuse},
+                         {"hang", TroubleKind::kHang},
+                         {"reset", TroubleKind::kReset},
+                         {"errors", TroubleKind::kErrors},
+                         {"slow", TroubleKind::kSlow}});
+    if (const json* kind = r.Find("kind"); kind != nullptr && kind->is_string())
+      t.name = kind->get<std::string>();
+    r.Number("share", t.share, 0, 1);
+    r.Whole("partner", t.partner, 0, s.partners.count - 1);
+    r.Whole("zone", t.zone, 0, static_cast<int>(s.zones.size()) - 1);
+    r.Number("from_s", t.from, 0, kDay);
+    r.Number("lasts_s", t.lasts, 0, kDay);
+    r.Number("chance", t.chance, 0, 1);
+    r.Number("factor", t.factor, 0.01, 1000);
+    if (t.share <= 0 && t.partner < 0) r.Fault("share", "or 'partner' must say whom it strikes");
+    s.troubles.push_back(t);
+  });
+  root.Each("pool_changes", [&](Reader& r) {
+    PoolChange c;
+    r.Word<PoolChange::Kind>("kind", c.kind,
+                             {{"drain", PoolChange::Kind::kDrain}, {"replace", PoolChange::Kind::kReplace}});
+    r.Number("at_s", c.at, 0, kDay);
+    r.Number("share", c.share, 0, 1);
+    s.pool_changes.push_back(c);
+  });
+  root.Each("relay_faults", [&](Reader& r) {
+    RelayFault f;
+    r.Word<RelayFault::Kind>("kind", f.kind,
+                             {{"kill", RelayFault::Kind::kKill}, {"stop", RelayFault::Kind::kStop}});
+    r.Whole("relay", f.relay, 0, s.relays - 1);
+    r.Number("at_s", f.at, 0, kDay);
+    r.Number("down_s", f.down, 0, kDay);
+    s.relay_faults.push_back(f);
+  });
+}
+
+void ReadSettings(Reader& root, Scenario& s) {
+  root.Object("settings", [&](Reader& r) {
+    Settings& m = s.settings;
+    r.Whole("slots", m.slots, 1, 1000000);
+    r.Whole("room", m.room, 1, 10000000);
+    r.Whole("most_tries", m.most_tries, 1, 100);
+    r.YesNo("may_cancel", m.may_cancel);
+    r.YesNo("may_copy", m.may_copy);
+    r.YesNo("may_probe", m.may_probe);
+    r.YesNo("may_advise_wait", m.may_advise_wait);
+    r.Number("longest_wait_s", m.longest_wait, 0, 3600);
+    r.Number("tick_s", m.tick, 0.0001, 1);
+    r.Number("overload_for_s", m.overload_for, 0.01, 600);
+    r.Number("overload_factor", m.overload_factor, 1, 100);
+    r.Number("cold_from", m.cold_from, 0.001, 1);
+    r.Number("ramp_s", m.ramp_time, 0, 3600);
+    if (r.Has("rating"))
+      r.Word<RatingMeaning>("rating", m.rating,
+                            {{"none", RatingMeaning::kNone},
+                             {"exact", RatingMeaning::kExact},
+                             {"rough", RatingMeaning::kRough}});
+  });
+}
+
+}  // namespace
+
+Scenario ReadScenario(const json& file) {
+  Scenario s;
+  Collector faults;
+  s.settings = DefaultSettings();
+  {
+    Reader root(file, "", faults);
+    root.Text("name", s.name);
+    std::string note;  // for readers alone
+    root.Text("note", note);
+    root.Number("lasts_s", s.lasts, 0.1, kDay);
+    root.Whole("relays", s.relays, 1, 1000);
+    int zones = 2;
+    root.Whole("zones", zones, 1, 16);
+    for (int i = 0; i < zones; ++i) s.zones.push_back("z" + std::to_string(i));
+    ReadClasses(root, s);
+    ReadPartners(root, s);
+    ReadLoad(root, s);
+    root.Span("one_way_s", s.one_way, 0, 10);
+    root.Number("handshake_s", s.handshake, 0, 10);
+    root.Span("list_late_s", s.list_late, 0, 60);
+    ReadSettings(root, s);
+    ReadTroubles(root, s);
+    double shares = 0;
+    for (const ClassPlan& c : s.classes) shares += c.share;
+    if (!s.classes.empty() && std::abs(shares - 1) > 0.001)
+      root.Fault("classes", "must have shares that sum to 1");
+  }
+  faults.Throw();
+  s.settings.couriers = s.relays;
+  s.settings.kinds = {{false, 1}, {true, s.partners.bundle}};
+  for (const ClassPlan& c : s.classes) s.settings.classes.push_back(c.rules);
+  // As the operators' settings: slots for 2.1 times what full load keeps busy, room for 9 s of it.
+  const double part = s.load.rate / s.relays;
+  if (s.settings.slots == 0)
+    s.settings.slots = std::max(
+        3, static_cast<int>(2.1 * part * (s.partners.latency.least + s.partners.latency.most) / 2) + 1);
+  if (s.settings.room == 0) s.settings.room = std::max(16, static_cast<int>(9 * part));
+  return s;
+}
+
+Scenario LoadScenario(const std::string& path) {
+  std::ifstream stream(path);
+  if (!stream) throw FieldError("the scenario '" + path + "' can't be read");
+  json file;
+  try {
+    file = json::parse(stream);
+  } catch (const json::parse_error& error) {
+    throw FieldError("the scenario '" + path + "' is no JSON at byte " + std::to_string(error.byte));
+  }
+  return ReadScenario(file);
+}
+
+void SetByPath(json& file, const std::string& assignment) {
+  const std::size_t equals = assignment.find('=');
+  if (equals == std::string::npos || equals == 0)
+    throw FieldError("'" + assignment + "' must be KEY=VALUE, like load.rate=30");
+  std::string pointer = "/" + assignment.substr(0, equals);
+  std::replace(pointer.begin(), pointer.end(), '.', '/');
+  const std::string text = assignment.substr(equals + 1);
+  const json value = json::parse(text, nullptr, false);
+  file[json::json_pointer(pointer)] = value.is_discarded() ? json(text) : value;
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/scenario.h
@@ -0,0 +1,103 @@
+// A scenario: a deployment, its load and its troubles. Read from JSON and checked whole; every fault is told
+// with the path of its key. docs/operate/lab.md explains the keys, lab/scenarios/ holds some.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "lab/lane_model.h"
+#include "opalroute/rules.h"
+
+namespace opalroute::lab {
+
+struct Range {
+  double least = 0, most = 0;
+};
+
+struct Trouble {
+  TroubleKind kind{};
+  std::string name;
+  double share = 0;  // of the partners, the busiest of a draw first; or ...
+  int partner = -1;  // ... this one
+  int zone = -1;     // only endpoints in this zone; -1: all
+  Seconds from = 0, lasts = 0;
+  double chance = 1;  // of a call: kErrors, kReset
+  double factor = 1;  // kSlow
+};
+
+struct Burst {
+  Seconds from = 0, lasts = 0;
+  double times = 1;      // the usual load
+  int hot_partners = 0;  // above 0: what comes above the usual goes to so many busy partners
+};
+
+struct PoolChange {
+  enum class Kind { kDrain, kReplace } kind{};
+  Seconds at = 0;
+  double share = 0;  // of the endpoints
+};
+
+struct RelayFault {
+  enum class Kind { kKill, kStop } kind{};  // SIGKILL; SIGTERM
+  int relay = 0;
+  Seconds at = 0, down = 0;
+};
+
+struct ClassPlan {
+  std::string name;
+  MessageClass rules;
+  double share = 0;  // of the messages
+};
+
+struct Scenario {
+  std::string name = "unnamed";
+  Seconds lasts = 30;  // of arrivals; it then runs on until all is answered
+  int relays = 2;
+  Settings settings;  // of the decision module, but for seed and classes' order
+  std::vector<ClassPlan> classes;
+  std::vector<std::string> zones;
+  struct Partners {
+    int count = 10;
+    Range endpoints{1, 4};
+    double zipf = 1;   // exponent of their shares of the load
+    double apart = 0;  // share of them whose endpoints are routes with a limit and outages of their own
+    int bundle = 1;    // messages in a call to those
+    Range latency{0.18, 0.45};  // mean of a call, drawn for each partner
+    double latency_cv = 0.4;    // coefficient of variation of single calls (log-normal)
+    Range headroom{1.3, 2.3};   // its limit over its part of the load; 0: no limit
+    double least_limit = 2;     // calls a second
+    double window_share = 0.5;  // share of partners with a count in a window instead of a plain rate
+    Seconds window = 1;
+    Range tells_wait{0.1, 0.99};  // share of refusals that tell a wait, drawn for each partner
+    Range wait{0.3, 1};
+    bool refused_count = true;  // refused calls use up the limit
+    double spare = 1.4;         // capacity over limit
+  } partners;
+  struct Load {
+    double rate = 20;        // messages a second to all relays
+    double clump_share = 0;  // of the messages come in clumps for one partner
+    Range clump{1.3, 3.2};   // a clump's size: seconds of the partner's limit
+    std::vector<Burst> bursts;
+  } load;
+  struct Clients {
+    int retries = 2;     // after a refusal
+    Range wait{0.3, 2};  // where none was advised
+  } clients;
+  Range one_way{0.005, 0.015};  // of the network, drawn for each relay and zone
+  Seconds handshake = 0.001;    // a new connection costs the call a round trip and this
+  Range list_late{1, 4};        // a change of the list reaches a relay so long after it was made
+  std::vector<Trouble> troubles;
+  std::vector<PoolChange> pool_changes;
+  std::vector<RelayFault> relay_faults;
+};
+
+// Throws config::Faults, one line a fault.
+Scenario ReadScenario(const nlohmann::json& json);
+Scenario LoadScenario(const std::string& path);
+
+// Puts `value` (JSON, or else a text) at the dotted path of a scenario's JSON, as `--set load.rate=30` does.
+void SetByPath(nlohmann::json& json, const std::string& assignment);
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/simulation.cpp
@@ -0,0 +1,554 @@
+#include "lab/simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_set>
+#include <utility>
+
+namespace opalroute::lab {
+
+namespace {
+
+constexpr Seconds kStopTime = 3.45;   // a relay ends so long after SIGTERM
+constexpr Seconds kIdleTime = 14;     // a connection is kept so long between calls
+constexpr Seconds kFullAdvice = 0.5;  // what a relay without room tells its clients
+constexpr Seconds kAfterReady = 1.5;  // after a restart what was overdue may be answered until then
+constexpr Seconds kDrainLasts = 5;    // from 'draining' until the machine has gone
+constexpr Seconds kRunsOn = 3;        // after the last message's time is up
+
+bool NeverRan(Outcome o) {
+  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kNotSent;
+}
+
+Outcome OutcomeOf(LaneModel::Fate fate) {
+  switch (fate) {
+    case LaneModel::Fate::kServed:
+      return Outcome::kServed;
+    case LaneModel::Fate::kFull:
+      return Outcome::kFull;
+    case LaneModel::Fate::kError:
+      return Outcome::kError;
+    case LaneModel::Fate::kReset:
+    case LaneModel::Fate::kHangs:
+      break;
+  }
+  return Outcome::kReset;
+}
+
+}  // namespace
+
+struct Simulation::Relay {
+  int number = 0;
+  std::uint32_t life = 0;
+  bool up = false, takes_on = false;
+  std::unique_ptr<Courier> module;
+  std::deque<opalroute::Event> line;
+  bool pumping = false, turn_armed = false;
+  std::map<EndpointId, std::vector<std::vector<std::pair<std::uint64_t, int>>>> gathered;
+  std::unordered_set<std::uint64_t> held;  // ids that are not over
+  struct Idle {
+    int count = 0;
+    Seconds last = 0;
+  };
+  std::unordered_map<EndpointId, Idle> idle;
+  std::vector<Seconds> one_way;  // by zone
+};
+
+Simulation::Simulation(const Scenario& scenario, std::uint64_t seed)
+    : s_(scenario),
+      random_(seed, 3),
+      world_(scenario, seed),
+      traffic_(world_, seed),
+      auditor_(
+          [&] {
+            Auditor::Rules rules;
+            rules.overload_for = scenario.settings.overload_for;
+            return rules;
+          }(),
+          scenario.settings.classes) {
+  result_.scenario = s_.name;
+  result_.seed = seed;
+  for (const ClassPlan& c : s_.classes) {
+    result_.classes.emplace_back();
+    result_.classes.back().name = c.name;
+  }
+  result_.seconds.resize(static_cast<std::size_t>(std::ceil(s_.lasts)));
+  listings_.assign(world_.endpoint_count(), Listing::kInService);
+  for (EndpointId id = 1; id <= world_.endpoint_count(); ++id)
+    auditor_.Listed(id, world_.endpoint(id).destination, world_.endpoint(id).lane);
+  for (int i = 0; i < s_.relays; ++i) {
+    relays_.push_back(std::make_unique<Relay>());
+    relays_.back()->number = i;
+    for (std::size_t z = 0; z < s_.zones.size(); ++z) relays_.back()->one_way.push_back(Draw(s_.one_way));
+  }
+}
+
+Simulation::~Simulation() = default;
+
+RunResult Simulation::Run(const std::function<void(Seconds)>& progress) {
+  for (const auto& relay : relays_) StartRelay(*relay);
+  if (const auto first = traffic_.Next()) {
+    clients_.push_back({*first});
+    At(first->due, {Kind::kArrival, 0, 0});
+  }
+  for (std::size_t i = 0; i < s_.pool_changes.size(); ++i) At(s_.pool_changes[i].at, {Kind::kChange, 0, i});
+  for (std::size_t i = 0; i < s_.relay_faults.size(); ++i) At(s_.relay_faults[i].at, {Kind::kFault, 0, i});
+  Seconds longest = 0;
+  for (const ClassPlan& c : s_.classes) longest = std::max(longest, c.rules.deadline);
+  const Micros ends = ToMicros(s_.lasts + longest + kRunsOn);
+  Micros told = 0;
+  while (!queue_.empty() && queue_.next() <= ends) {
+    const auto event = queue_.Pop();
+    now_ = event.at;
+    ++result_.events;
+    Play(event.payload);
+    if (now_ / 1'000'000 != told / 1'000'000) {
+      told = now_;
+      auditor_.Until(now());
+      if (progress) progress(now());
+    }
+  }
+  auditor_.Until(static_cast<double>(ends) * 1e-6 + 1);
+  result_.breaches = auditor_.breaches();
+  result_.client_doubles = auditor_.client_doubles();
+  return std::move(result_);
+}
+
+void Simulation::Play(const Payload& event) {
+  switch (event.kind) {
+    case Kind::kArrival: {
+      const std::uint64_t client = event.a;
+      const Arrival arrival = clients_[client].arrival;
+      if (const auto next = traffic_.Next()) {
+        clients_.push_back({*next});
+        At(next->due, {Kind::kArrival, 0, clients_.size() - 1});
+      }
+      ClassOutcome& c = result_.classes[static_cast<std::size_t>(arrival.message_class)];
+      ++c.asked;
+      c.worth_asked += s_.classes[static_cast<std::size_t>(arrival.message_class)].rules.worth;
+      ++SecondAt(arrival.due).offered;
+      return HandIn(client);
+    }
+    case Kind::kHandIn:
+      return HandIn(event.a);
+    case Kind::kReach:
+      return Reach(event.a);
+    case Kind::kBack:
+      return Back(event.a);
+    case Kind::kUntil:
+      return GiveUp(event.a, static_cast<int>(event.b), Outcome::kTimeout);
+    case Kind::kChange:
+      return ChangeList(s_.pool_changes[event.a]);
+    case Kind::kGone:
+      return Publish(static_cast<EndpointId>(event.a), Listing::kGone);
+    case Kind::kFault:
+      return Strike(s_.relay_faults[event.a], event.b != 0);
+    case Kind::kTurn:
+    case Kind::kWake:
+    case Kind::kNews:
+    case Kind::kUp:
+      break;
+  }
+  Relay& relay = *relays_[static_cast<std::size_t>(event.relay)];
+  if (event.kind == Kind::kUp) return BringUp(relay);
+  if (!relay.up || relay.life != event.life) return;
+  if (event.kind == Kind::kNews) return TellNews(relay, changes_[event.a]);
+  if (event.kind == Kind::kWake) return Post(relay, Wake{event.a});
+  relay.turn_armed = false;
+  Post(relay, TurnEnd{});
+}
+
+Second& Simulation::SecondAt(Seconds when) {
+  const auto index = static_cast<std::size_t>(std::max(0.0, when));
+  if (index >= result_.seconds.size()) result_.seconds.resize(index + 1);
+  return result_.seconds[index];
+}
+
+ListEntry Simulation::EntryOf(EndpointId id, Listing listing) const {
+  const PartnerEndpoint& e = world_.endpoint(id);
+  return {id, e.zone, e.kind, e.destination, listing, e.rating};
+}
+
+// ---- relays -----------------------------------------------------------------------------------------
+
+void Simulation::StartRelay(Relay& relay) {
+  Settings settings = s_.settings;
+  settings.seed = (static_cast<std::uint64_t>(random_()) << 32) + random_();
+  relay.module = std::make_unique<Courier>(settings);
+  relay.up = relay.takes_on = true;
+  ListUpdate list;
+  list.scope = ListScope::kWhole;
+  for (EndpointId id = 1; id <= listings_.size(); ++id)
+    if (listings_[id - 1] != Listing::kGone) list.entries.push_back(EntryOf(id, listings_[id - 1]));
+  Post(relay, std::move(list));
+}
+
+// An action may bring about the next event before it is done, as in the relay itself.
+void Simulation::Post(Relay& relay, opalroute::Event event) {
+  relay.line.push_back(std::move(event));
+  if (std::exchange(relay.pumping, true)) return;
+  while (!relay.line.empty()) {
+    const opalroute::Event next = std::move(relay.line.front());
+    relay.line.pop_front();
+    std::vector<Action> actions;
+    relay.module->Handle(now(), next, actions);
+    if (!std::holds_alternative<TurnEnd>(next) && !std::exchange(relay.turn_armed, true)) {
+      const Seconds tick = s_.settings.tick;
+      At((std::floor(now() / tick + 1e-9) + 1) * tick, {Kind::kTurn, relay.number, 0, 0, relay.life});
+    }
+    Apply(relay, actions);
+  }
+  relay.pumping = false;
+}
+
+void Simulation::Apply(Relay& relay, const std::vector<Action>& actions) {
+  for (const Action& action : actions) {
+    if (const auto* send = std::get_if<Send>(&action)) {
+      Gather(relay, *send);
+    } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+      EndByRelay(refuse->message, true, refuse->wait);
+    } else if (const auto* fail = std::get_if<Fail>(&action)) {
+      EndByRelay(fail->message, false, 0);
+    } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
+      GiveUp(cancel->message, cancel->attempt, Outcome::kCancelled);
+    } else if (const auto* probe = std::get_if<Probe>(&action)) {
+      ++result_.probes;
+      StartCall(relay, probe->endpoint, {}, true);
+    } else if (const auto* wake = std::get_if<SetWake>(&action)) {
+      At(wake->at, {Kind::kWake, relay.number, wake->label, 0, relay.life});
+    } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
+      relay.idle.erase(close->endpoint);
+    }
+  }
+  for (auto& [endpoint, batches] : std::exchange(relay.gathered, {}))
+    for (auto& members : batches) StartCall(relay, endpoint, std::move(members), false);
+}
+
+void Simulation::Gather(Relay& relay, const Send& send) {
+  const auto it = handings_.find(send.message);
+  auditor_.Sent(now(), relay.number, send.message, send.endpoint);
+  if (it == handings_.end()) return;
+  Handing& h = it->second;
+  const int attempt = static_cast<int>(h.attempts.size());
+  h.attempts.push_back({send.endpoint, now()});
+  ++h.out;
+  ++result_.attempts;
+  const Seconds until = send.until > 0 ? std::min(send.until, h.deadline) : h.deadline;
+  At(until, {Kind::kUntil, relay.number, send.message, static_cast<std::uint32_t>(attempt), relay.life});
+  const int most =
+      std::max(1, s_.settings.kinds[static_cast<std::size_t>(world_.endpoint(send.endpoint).kind)].bundle);
+  auto& batches = relay.gathered[send.endpoint];
+  if (batches.empty() || static_cast<int>(batches.back().size()) >= most) batches.emplace_back();
+  batches.back().emplace_back(send.message, attempt);
+}
+
+// ---- calls --------------------------------------------------------------------------------------------
+
+void Simulation::StartCall(Relay& relay, EndpointId endpoint,
+                           std::vector<std::pair<std::uint64_t, int>> members, bool probe) {
+  const std::uint64_t number = ++last_call_;
+  ++result_.calls;
+  ++SecondAt(now()).calls;
+  Call& call = calls_[number];
+  call.relay = relay.number;
+  call.life = relay.life;
+  call.endpoint = endpoint;
+  call.sent = now();
+  call.members = std::move(members);
+  call.probe = probe;
+  for (const auto& [id, attempt] : call.members)
+    handings_.at(id).attempts[static_cast<std::size_t>(attempt)].call = number;
+  const PartnerEndpoint& e = world_.endpoint(endpoint);
+  const Seconds way = relay.one_way[static_cast<std::size_t>(e.zone)];
+  Relay::Idle& idle = relay.idle[endpoint];
+  if (idle.last + kIdleTime < now()) idle.count = 0;
+  const bool kept = idle.count > 0;
+  if (kept) --idle.count;
+  const bool gone = listings_[endpoint - 1] == Listing::kGone;
+  call.connects = kept || !(gone || world_.lane(e.lane).RefusesConnections(now()));
+  if (!call.connects) {
+    call.in_outage = world_.lane(e.lane).OutAt(now());
+    return At(now() + 2 * way, {Kind::kBack, relay.number, number});
+  }
+  At(now() + way + (kept ? 0 : 2 * way + s_.handshake), {Kind::kReach, relay.number, number});
+}
+
+void Simulation::Reach(std::uint64_t number) {
+  Call& call = calls_.at(number);
+  const PartnerEndpoint& e = world_.endpoint(call.endpoint);
+  LaneModel& lane = world_.lane(e.lane);
+  const bool cold = lane.ColdAt(now()) && !lane.collapsed();
+  call.in_outage = lane.OutAt(now());
+  call.verdict = lane.Take(now());
+  if (call.probe) call.verdict.wait = 0;  // what answers a probe says 503 at most
+  if (cold) auditor_.ReachedCold(now(), call.relay, e.lane, call.verdict.fell_over);
+  result_.collapses += call.verdict.fell_over ? 1 : 0;
+  if (call.verdict.fate == LaneModel::Fate::kFull) ++SecondAt(now()).full;
+  if (call.verdict.ran)
+    for (const auto& [id, attempt] : call.members) auditor_.Ran(now(), id);
+  // One that hangs never comes back: its relay gives it up.
+  if (call.verdict.fate == LaneModel::Fate::kHangs && !call.probe) return;
+  const Seconds way =
+      relays_[static_cast<std::size_t>(call.relay)]->one_way[static_cast<std::size_t>(e.zone)];
+  const Seconds takes = call.verdict.fate == LaneModel::Fate::kHangs ? 1.5 : call.verdict.takes;
+  At(now() + takes + way, {Kind::kBack, call.relay, number});
+}
+
+void Simulation::Back(std::uint64_t number) {
+  const Call call = std::move(calls_.at(number));
+  calls_.erase(number);
+  Relay& relay = *relays_[static_cast<std::size_t>(call.relay)];
+  if (!relay.up || relay.life != call.life) return;
+  const PartnerEndpoint& e = world_.endpoint(call.endpoint);
+  Outcome outcome = call.connects ? OutcomeOf(call.verdict.fate) : Outcome::kConnectFailed;
+  if (call.probe && call.verdict.fate == LaneModel::Fate::kHangs) outcome = Outcome::kTimeout;
+  if (call.connects &&
+      (outcome == Outcome::kServed || outcome == Outcome::kFull || outcome == Outcome::kError)) {
+    Relay::Idle& idle = relay.idle[call.endpoint];
+    ++idle.count;
+    idle.last = now();
+  }
+  // What the relay has given up it reads no more: it learns nothing from it.
+  const bool awaited =
+      call.probe || std::any_of(call.members.begin(), call.members.end(), [this](const auto& member) {
+        const auto it = handings_.find(member.first);
+        return it != handings_.end() && it->second.attempts[static_cast<std::size_t>(member.second)].out;
+      });
+  if (!awaited) return;
+  if (outcome != Outcome::kServed && call.in_outage) auditor_.SawOutage(relay.number, e.lane);
+  if (call.verdict.wait > 0) auditor_.ToldWait(now(), relay.number, e.lane, call.verdict.wait);
+  if (call.probe) {
+    ProbeOutcome told;
+    told.endpoint = call.endpoint;
+    told.outcome = outcome;
+    told.duration = now() - call.sent;
+    return Post(relay, told);
+  }
+  for (const auto& [id, attempt] : call.members) EndAttempt(id, attempt, outcome, call.verdict.wait);
+}
+
+// The relay stops waiting for one attempt. What its call does at the partner goes on.
+void Simulation::GiveUp(std::uint64_t id, int attempt, Outcome outcome) {
+  const auto it = handings_.find(id);
+  if (it == handings_.end() || attempt >= static_cast<int>(it->second.attempts.size())) return;
+  const Attempt& a = it->second.attempts[static_cast<std::size_t>(attempt)];
+  if (!a.out) return;
+  const auto call = calls_.find(a.call);
+  if (call != calls_.end()) {
+    auto& members = call->second.members;
+    // Effects are told by members: they stay, unless its last byte has arrived already.
+    const bool reached = call->second.verdict.takes > 0;
+    if (outcome == Outcome::kTimeout && call->second.in_outage)
+      auditor_.SawOutage(call->second.relay, world_.endpoint(call->second.endpoint).lane);
+    const auto member = std::find(members.begin(), members.end(), std::make_pair(id, attempt));
+    if (reached && member != members.end()) members.erase(member);
+    if (members.empty() && call->second.verdict.fate == LaneModel::Fate::kHangs) calls_.erase(call);
+  }
+  EndAttempt(id, attempt, outcome, 0);
+}
+
+void Simulation::EndAttempt(std::uint64_t id, int attempt, Outcome outcome, Seconds wait) {
+  const auto it = handings_.find(id);
+  if (it == handings_.end()) return;
+  Handing& h = it->second;
+  Attempt& a = h.attempts[static_cast<std::size_t>(attempt)];
+  if (!std::exchange(a.out, false)) return;
+  a.may_have_run = !NeverRan(outcome);
+  --h.out;
+  Relay& relay = *relays_[static_cast<std::size_t>(h.relay)];
+  long* const counts[] = {
+      nullptr,         &result_.errors, &result_.full, &result_.timeouts, &result_.unconnected,
+      &result_.resets, nullptr,         nullptr};
+  if (long* count = counts[static_cast<int>(outcome)]) ++*count;
+  auditor_.Over(id, attempt, a.may_have_run);
+  const bool delivered = outcome == Outcome::kServed && !h.over;
+  if (delivered) {
+    h.over = true;
+    relay.held.erase(id);
+    auditor_.Ended(now(), id, Auditor::End::kDelivered);
+    Deliver(clients_[h.client]);
+  }
+  AttemptOutcome told;
+  told.message = id;
+  told.attempt = attempt;
+  told.endpoint = a.endpoint;
+  told.outcome = outcome;
+  told.duration = now() - a.sent;
+  told.wait = wait;
+  told.over = h.over;
+  ForgetIfDone(id);
+  Post(relay, told);
+}
+
+void Simulation::ForgetIfDone(std::uint64_t id) {
+  const auto it = handings_.find(id);
+  if (it != handings_.end() && it->second.over && it->second.out == 0) handings_.erase(it);
+}
+
+// ---- clients ------------------------------------------------------------------------------------------
+
+void Simulation::HandIn(std::uint64_t client) {
+  const Arrival arrival = clients_[client].arrival;
+  const MessageClass& c = s_.classes[static_cast<std::size_t>(arrival.message_class)].rules;
+  const Seconds deadline = arrival.due + c.deadline;
+  if (now() >= deadline) return;
+  Relay* relay = nullptr;
+  for (std::size_t tries = 0; tries < relays_.size() && relay == nullptr; ++tries) {
+    Relay& next = *relays_[next_relay_++ % relays_.size()];
+    if (next.up && next.takes_on) relay = &next;
+  }
+  ++result_.handed_in;
+  if (relay == nullptr || static_cast<int>(relay->held.size()) >= s_.settings.room) {
+    ++result_.refused;
+    ++SecondAt(now()).refused;
+    return ComeAgain(client, kFullAdvice);
+  }
+  const std::uint64_t id = ++last_id_;
+  Handing& h = handings_[id];
+  h.client = client;
+  h.relay = relay->number;
+  h.deadline = deadline;
+  relay->held.insert(id);
+  const WorldPartner& partner = world_.partners()[arrival.partner];
+  auditor_.Taken(now(), relay->number, id, client, arrival.message_class, partner.id, deadline);
+  NewMessage message;
+  message.message = id;
+  message.message_class = arrival.message_class;
+  message.patience = deadline - now();
+  message.destination = partner.id;
+  Post(*relay, std::move(message));
+}
+
+void Simulation::EndByRelay(std::uint64_t id, bool refused, Seconds advice) {
+  const auto it = handings_.find(id);
+  auditor_.Ended(now(), id, refused ? Auditor::End::kRefused : Auditor::End::kFailed);
+  if (it == handings_.end() || it->second.over) return;
+  Handing& h = it->second;
+  h.over = true;
+  relays_[static_cast<std::size_t>(h.relay)]->held.erase(id);
+  ++(refused ? result_.refused : result_.failed);
+  ++(refused ? SecondAt(now()).refused : SecondAt(now()).failed);
+  const std::uint64_t client = h.client;
+  ForgetIfDone(id);
+  if (refused) ComeAgain(client, advice);
+}
+
+void Simulation::ComeAgain(std::uint64_t client, Seconds advice) {
+  if (clients_[client].retries++ >= s_.clients.retries) return;
+  const Seconds wait = advice > 0 ? std::min(advice, s_.settings.longest_wait) : Draw(s_.clients.wait);
+  At(now() + wait, {Kind::kHandIn, 0, client});
+}
+
+void Simulation::Deliver(Client& client) {
+  if (std::exchange(client.delivered, true)) return;
+  const Arrival& arrival = client.arrival;
+  ClassOutcome& c = result_.classes[static_cast<std::size_t>(arrival.message_class)];
+  const MessageClass& rules = s_.classes[static_cast<std::size_t>(arrival.message_class)].rules;
+  const Seconds took = now() - arrival.due;
+  ++c.delivered;
+  c.latency.Add(took);
+  ++SecondAt(arrival.due).delivered;
+  if (took <= rules.aim) {
+    ++c.in_aim;
+    c.worth += rules.worth;
+  } else if (took < rules.deadline) {
+    c.worth += rules.worth * (1 - (1 - rules.late_share) * (took - rules.aim) / (rules.deadline - rules.aim));
+  }
+}
+
+// ---- the list and the relays' faults
+// ------------------------------------------------------------------------
+
+void Simulation::Publish(EndpointId endpoint, Listing listing) {
+  if (endpoint > listings_.size()) {
+    listings_.resize(endpoint, Listing::kInService);
+    auditor_.Listed(endpoint, world_.endpoint(endpoint).destination, world_.endpoint(endpoint).lane);
+  }
+  listings_[endpoint - 1] = listing;
+  changes_.push_back({endpoint, listing});
+  for (const auto& relay : relays_)
+    At(now() + Draw(s_.list_late), {Kind::kNews, relay->number, changes_.size() - 1, 0, relay->life});
+}
+
+void Simulation::TellNews(Relay& relay, const ListChange& change) {
+  if (change.listing != Listing::kInService) auditor_.ToldDrain(now(), relay.number, change.endpoint);
+  ListUpdate update;
+  update.scope = ListScope::kChanges;
+  update.entries = {EntryOf(change.endpoint, change.listing)};
+  Post(relay, std::move(update));
+}
+
+void Simulation::ChangeList(const PoolChange& change) {
+  if (change.share < 0) return;
+  const std::size_t count = listings_.size();
+  for (EndpointId id = 1; id <= count; ++id) {
+    if (listings_[id - 1] != Listing::kInService || Draw({0, 1}) >= change.share) continue;
+    if (change.kind == PoolChange::Kind::kReplace) {
+      Publish(world_.Replace(id), Listing::kInService);
+    } else {
+      const WorldPartner& partner =
+          world_.partners()[static_cast<std::size_t>(world_.endpoint(id).destination - 1)];
+      const auto left =
+          std::count_if(partner.endpoints.begin(), partner.endpoints.end(),
+                        [this](EndpointId e) { return listings_[e - 1] == Listing::kInService; });
+      if (left < 2) continue;  // a partner that drains its last endpoint has left
+    }
+    Publish(id, Listing::kDraining);
+    At(now() + kDrainLasts, {Kind::kGone, 0, id});
+  }
+}
+
+void Simulation::Strike(const RelayFault& fault, bool forced) {
+  Relay& relay = *relays_[static_cast<std::size_t>(fault.relay)];
+  if (!relay.up) return;
+  if (fault.kind == RelayFault::Kind::kStop && !forced) {
+    relay.takes_on = false;
+    Post(relay, Stopping{kStopTime});
+    const auto index = static_cast<std::uint64_t>(&fault - s_.relay_faults.data());
+    return At(now() + kStopTime, {Kind::kFault, relay.number, index, 1});
+  }
+  relay.up = relay.takes_on = false;
+  ++relay.life;
+  relay.module.reset();
+  relay.line.clear();
+  relay.idle.clear();
+  relay.gathered.clear();
+  relay.turn_armed = false;
+  auditor_.RelayDied(relay.number, now() + fault.down + kAfterReady);
+  for (auto it = handings_.begin(); it != handings_.end();) {
+    Handing& h = it->second;
+    const std::uint64_t id = it->first;
+    ++it;
+    if (h.relay != relay.number) continue;
+    // Its record says that the call left, and nothing of what became of it.
+    for (std::size_t i = 0; i < h.attempts.size(); ++i) {
+      if (!std::exchange(h.attempts[i].out, false)) continue;
+      h.attempts[i].may_have_run = true;
+      --h.out;
+      auditor_.Over(id, static_cast<int>(i), true);
+    }
+    if (h.over) handings_.erase(id);
+  }
+  At(now() + fault.down, {Kind::kUp, relay.number, 0});
+}
+
+void Simulation::BringUp(Relay& relay) {
+  StartRelay(relay);
+  std::vector<std::uint64_t> ids(relay.held.begin(), relay.held.end());
+  std::sort(ids.begin(), ids.end());  // in the order taken
+  for (const std::uint64_t id : ids) {
+    const Handing& h = handings_.at(id);
+    const Arrival& arrival = clients_[h.client].arrival;
+    Restored restored;
+    restored.message.message = id;
+    restored.message.message_class = arrival.message_class;
+    restored.message.destination = world_.partners()[arrival.partner].id;
+    restored.message.patience = std::max(0.0, h.deadline - now());
+    for (const Attempt& a : h.attempts)
+      restored.attempts.push_back(
+          {a.endpoint, world_.endpoint(a.endpoint).zone, now() - a.sent, a.may_have_run});
+    Post(relay, std::move(restored));
+  }
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/simulation.h
@@ -0,0 +1,133 @@
+// Plays a scenario in simulated time: many decision modules, the partners' models between them, one queue of
+// events. The same seed gives the same run to the byte. Relays share nothing but the partners.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/auditor.h"
+#include "lab/event_queue.h"
+#include "lab/result.h"
+#include "lab/traffic.h"
+#include "lab/world.h"
+#include "opalroute/rules.h"
+
+namespace opalroute::lab {
+
+class Simulation {
+ public:
+  Simulation(const Scenario& scenario, std::uint64_t seed);
+  ~Simulation();
+
+  // `progress` is told the simulated second from time to time.
+  RunResult Run(const std::function<void(Seconds)>& progress = nullptr);
+
+ private:
+  enum class Kind : std::uint8_t {
+    kArrival,  // the next of the traffic
+    kHandIn,   // a client's message, a: its index
+    kTurn,     // of a relay
+    kWake,     // of a relay, a: label
+    kReach,    // a call's last byte reaches its endpoint, a: call
+    kBack,     // a call's outcome reaches its relay, a: call
+    kUntil,    // an attempt's time is up, a: message, b: attempt
+    kNews,     // a change of the list reaches a relay, a: its number
+    kChange,   // the list changes, a: of the scenario
+    kGone,     // a drained endpoint's machine goes, a: endpoint
+    kFault,    // strikes a relay, a: of the scenario
+    kUp        // a relay starts again
+  };
+  struct Payload {
+    Kind kind{};
+    std::int32_t relay = 0;
+    std::uint64_t a = 0;
+    std::uint32_t b = 0;
+    std::uint32_t life = 0;  // of the relay that it was meant for
+  };
+  struct Attempt {
+    EndpointId endpoint = 0;
+    Seconds sent = 0;
+    std::uint64_t call = 0;
+    bool out = true, may_have_run = true;
+  };
+  struct Client {  // one message of a client, however often it is handed in
+    Arrival arrival;
+    int retries = 0;
+    bool delivered = false;
+  };
+  struct Handing {  // a message as a relay has it, under an id of its own
+    std::uint64_t client = 0;
+    int relay = 0;
+    Seconds deadline = 0;
+    bool over = false;
+    int out = 0;
+    std::vector<Attempt> attempts;
+  };
+  struct Call {
+    int relay = 0;
+    std::uint32_t life = 0;
+    EndpointId endpoint = 0;
+    Seconds sent = 0;
+    std::vector<std::pair<std::uint64_t, int>> members;  // id and attempt, as long as the relay awaits them
+    bool probe = false, connects = true, in_outage = false;
+    LaneModel::Verdict verdict;
+  };
+  struct Relay;
+  struct ListChange {
+    EndpointId endpoint = 0;
+    Listing listing{};
+  };
+
+  static Micros ToMicros(Seconds seconds) { return static_cast<Micros>(seconds * 1e6 + 0.5); }
+  Seconds now() const { return static_cast<double>(now_) * 1e-6; }
+  void At(Seconds when, Payload payload) { queue_.Push(std::max(now_, ToMicros(when)), payload); }
+  void Play(const Payload& event);
+
+  void StartRelay(Relay& relay);
+  void Post(Relay& relay, opalroute::Event event);
+  void Apply(Relay& relay, const std::vector<Action>& actions);
+  void Gather(Relay& relay, const Send& send);
+  void StartCall(Relay& relay, EndpointId endpoint, std::vector<std::pair<std::uint64_t, int>> members,
+                 bool probe);
+  void Reach(std::uint64_t number);
+  void Back(std::uint64_t number);
+  void GiveUp(std::uint64_t id, int attempt, Outcome outcome);
+  void EndAttempt(std::uint64_t id, int attempt, Outcome outcome, Seconds wait);
+  void HandIn(std::uint64_t client);
+  void EndByRelay(std::uint64_t id, bool refused, Seconds advice);
+  void ComeAgain(std::uint64_t client, Seconds advice);
+  void Deliver(Client& client);
+  void ForgetIfDone(std::uint64_t id);
+  void ChangeList(const PoolChange& change);
+  void Publish(EndpointId endpoint, Listing listing);
+  void TellNews(Relay& relay, const ListChange& change);
+  void Strike(const RelayFault& fault, bool forced);
+  void BringUp(Relay& relay);
+  Second& SecondAt(Seconds when);
+  ListEntry EntryOf(EndpointId endpoint, Listing listing) const;
+  double Draw(const Range& range) {
+    return range.least + (range.most - range.least) * (static_cast<double>(random_()) * 0x1p-32);
+  }
+
+  const Scenario s_;
+  pcg32 random_;
+  World world_;
+  Traffic traffic_;
+  Auditor auditor_;
+  RunResult result_;
+  HeapQueue<Payload> queue_;
+  Micros now_ = 0;
+  std::vector<std::unique_ptr<Relay>> relays_;
+  std::vector<Client> clients_;
+  std::unordered_map<std::uint64_t, Handing> handings_;  // by id, until over with nothing out
+  std::unordered_map<std::uint64_t, Call> calls_;
+  std::vector<ListChange> changes_;
+  std::vector<Listing> listings_;  // by endpoint, as the list has them
+  std::uint64_t last_id_ = 0, last_call_ = 0, next_relay_ = 0;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/traffic.h
@@ -0,0 +1,44 @@
+// What clients hand in: arrivals drawn ahead, in the order of time. Open loop: they wait for nothing.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <pcg_random.hpp>
+#include <vector>
+
+#include "lab/scenario.h"
+#include "lab/world.h"
+
+namespace opalroute::lab {
+
+struct Arrival {
+  Seconds due = 0;
+  int message_class = 0;
+  std::size_t partner = 0;
+};
+
+class Traffic {
+ public:
+  Traffic(const World& world, std::uint64_t seed);
+  // None: the day is over.
+  std::optional<Arrival> Next();
+
+ private:
+  double RateAt(Seconds now) const;
+  std::size_t DrawPartner(Seconds now);
+  int DrawClass();
+  double Unit() { return static_cast<double>(random_()) * 0x1p-32; }
+
+  const World& world_;
+  const Scenario& s_;
+  pcg32 random_;
+  std::vector<double> shares_;   // summed up, by partner
+  std::vector<double> classes_;  // summed up
+  double most_times_ = 1;        // the load's highest multiple
+  double clump_mean_ = 1;        // messages in a clump
+  Seconds now_ = 0;
+  std::deque<Arrival> clump_;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/world.cpp
@@ -0,0 +1,110 @@
+#include "lab/world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace opalroute::lab {
+
+double World::Draw(const Range& range) { return range.least + (range.most - range.least) * Unit(); }
+
+World::World(const Scenario& scenario, std::uint64_t seed) : scenario_(scenario), random_(seed, 1) {
+  const Scenario::Partners& plan = scenario.partners;
+  const auto count = static_cast<std::size_t>(plan.count);
+  double sum = 0;
+  for (std::size_t i = 0; i < count; ++i) sum += std::pow(static_cast<double>(i + 1), -plan.zipf);
+  for (std::size_t i = 0; i < count; ++i) {
+    WorldPartner partner;
+    partner.id = static_cast<DestinationId>(i + 1);
+    partner.share = std::pow(static_cast<double>(i + 1), -plan.zipf) / sum;
+    partners_.push_back(partner);
+  }
+  // Whom each trouble strikes: drawn until their load makes up the share, and never one twice at a time.
+  for (const Trouble& trouble : scenario.troubles) {
+    std::vector<bool> struck(count, false);
+    if (trouble.partner >= 0) struck[static_cast<std::size_t>(trouble.partner)] = true;
+    double left = trouble.share;
+    for (int tries = 0; left > 0 && tries < 20 * plan.count; ++tries) {
+      const std::size_t i = random_(static_cast<std::uint32_t>(count));
+      const bool fits = partners_[i].share <= 1.3 * left || tries > 10 * plan.count;
+      if (struck[i] || !fits) continue;
+      struck[i] = true;
+      left -= partners_[i].share;
+    }
+    struck_by_.push_back(struck);
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    WorldPartner& partner = partners_[i];
+    const int endpoints = std::max(1, static_cast<int>(std::lround(Draw(plan.endpoints))));
+    partner.apart = Unit() < plan.apart;
+    const double load = scenario.load.rate * partner.share;
+    const double headroom = Draw(plan.headroom);
+    partner.limit = headroom > 0 ? std::max(plan.least_limit, headroom * load) : 0;
+    const double part = partner.limit / (partner.apart ? endpoints : 1);
+    LaneSettings lane = LaneOf(load, partner.limit > 0 ? std::max(plan.least_limit, part) : 0);
+    std::uint32_t shared = 0;
+    if (!partner.apart) shared = AddLane(lane, OutagesOf(i, -1));
+    for (int e = 0; e < endpoints; ++e) {
+      PartnerEndpoint endpoint;
+      endpoint.destination = partner.id;
+      endpoint.zone = static_cast<int>(random_(static_cast<std::uint32_t>(scenario.zones.size())));
+      endpoint.kind = partner.apart ? 1 : 0;
+      endpoint.lane = partner.apart ? AddLane(lane, OutagesOf(i, endpoint.zone)) : shared;
+      const double rough = scenario.settings.rating == RatingMeaning::kRough ? 0.5 + Unit() : 1;
+      endpoint.rating = lane.limit * rough;
+      partner.endpoints.push_back(AddEndpoint(endpoint));
+    }
+  }
+}
+
+LaneSettings World::LaneOf(double load, double limit) {
+  const Scenario::Partners& plan = scenario_.partners;
+  const Settings& rules = scenario_.settings;
+  LaneSettings s;
+  s.limit = limit;
+  s.window = Unit() < plan.window_share ? plan.window : 0;
+  s.refused_count = plan.refused_count;
+  s.capacity = limit > 0 ? plan.spare * limit : std::max(10.0, 4 * load);
+  s.tells_wait = Draw(plan.tells_wait);
+  s.wait = Draw(plan.wait);
+  s.latency = Draw(plan.latency);
+  s.latency_cv = plan.latency_cv;
+  s.cold_from = rules.cold_from;
+  s.ramp = rules.ramp_time;
+  s.overload_factor = rules.overload_factor;
+  s.overload_for = rules.overload_for;
+  return s;
+}
+
+std::vector<LaneOutage> World::OutagesOf(std::size_t partner, int zone) const {
+  std::vector<LaneOutage> outages;
+  for (std::size_t t = 0; t < scenario_.troubles.size(); ++t) {
+    const Trouble& trouble = scenario_.troubles[t];
+    if (!struck_by_[t][partner] || (trouble.zone >= 0 && zone >= 0 && trouble.zone != zone)) continue;
+    outages.push_back(
+        {trouble.kind, trouble.from, trouble.from + trouble.lasts, trouble.chance, trouble.factor});
+  }
+  return outages;
+}
+
+std::uint32_t World::AddLane(const LaneSettings& settings, std::vector<LaneOutage> outages) {
+  struck_.push_back(!outages.empty());
+  lanes_.push_back(std::make_unique<LaneModel>(settings, std::move(outages), random_()));
+  return static_cast<std::uint32_t>(lanes_.size() - 1);
+}
+
+EndpointId World::AddEndpoint(PartnerEndpoint endpoint) {
+  endpoint.id = static_cast<EndpointId>(endpoints_.size() + 1);
+  endpoints_.push_back(endpoint);
+  return endpoint.id;
+}
+
+EndpointId World::Replace(EndpointId old) {
+  PartnerEndpoint endpoint = endpoints_[old - 1];
+  if (endpoint.kind == 1) endpoint.lane = AddLane(lanes_[endpoint.lane]->settings(), {});
+  const EndpointId fresh = AddEndpoint(endpoint);
+  partners_[static_cast<std::size_t>(endpoint.destination - 1)].endpoints.push_back(fresh);
+  return fresh;
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/world.h
@@ -0,0 +1,65 @@
+// The partners of a scenario, drawn from a seed: who they are, what they take, and what befalls them. The
+// same for sockets and for simulated time.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <pcg_random.hpp>
+#include <vector>
+
+#include "lab/lane_model.h"
+#include "lab/scenario.h"
+
+namespace opalroute::lab {
+
+struct PartnerEndpoint {
+  EndpointId id = 0;
+  DestinationId destination = 0;
+  int zone = 0, kind = 0;
+  double rating = 0;
+  std::uint32_t lane = 0;  // in World::lanes
+};
+
+struct WorldPartner {
+  DestinationId id = 0;
+  double share = 0;  // of the load
+  bool apart = false;
+  double limit = 0;  // of all its lanes
+  std::vector<EndpointId> endpoints;
+};
+
+class World {
+ public:
+  World(const Scenario& scenario, std::uint64_t seed);
+
+  const Scenario& scenario() const { return scenario_; }
+  std::vector<WorldPartner>& partners() { return partners_; }
+  const std::vector<WorldPartner>& partners() const { return partners_; }
+  const PartnerEndpoint& endpoint(EndpointId id) const { return endpoints_[id - 1]; }  // ids count from 1
+  std::size_t endpoint_count() const { return endpoints_.size(); }
+  LaneModel& lane(std::uint32_t index) { return *lanes_[index]; }
+  std::size_t lane_count() const { return lanes_.size(); }
+  // Which lanes an outage strikes, of all troubles of the scenario that count as one.
+  bool Struck(std::uint32_t lane) const { return struck_[lane]; }
+
+  // Another machine takes the endpoint's place, under a new id; the lane of a shared limit stays.
+  EndpointId Replace(EndpointId old);
+
+ private:
+  LaneSettings LaneOf(double load, double limit);
+  std::vector<LaneOutage> OutagesOf(std::size_t partner, int zone) const;
+  std::uint32_t AddLane(const LaneSettings& settings, std::vector<LaneOutage> outages);
+  EndpointId AddEndpoint(PartnerEndpoint endpoint);
+  double Draw(const Range& range);
+  double Unit() { return static_cast<double>(random_()) * 0x1p-32; }
+
+  const Scenario scenario_;
+  pcg32 random_;
+  std::vector<WorldPartner> partners_;
+  std::vector<PartnerEndpoint> endpoints_;
+  std::vector<std::unique_ptr<LaneModel>> lanes_;
+  std::vector<bool> struck_;
+  std::vector<std::vector<bool>> struck_by_;  // by trouble, by partner
+};
+
+}  // namespace opalroute::lab
--- a/src/learning/donor.cpp
+++ b/src/learning/donor.cpp
@@ -71,6 +71,7 @@
 
   void Finish() {
     over_ = true;
+    donor_.longest_pause_ = std::max(donor_.longest_pause_, slices_->longest());
     if (Put(Write(End{lanes_}))) connection_->CloseWhenWritten();
     log::Info("learn_told", {{"lanes", lanes_},
                              {"ms", (donor_.loop_.Now() - began_) * 1000},
--- a/src/learning/donor.h
+++ b/src/learning/donor.h
@@ -19,6 +19,7 @@
         const Limits& limits);
   ~Donor();
   sockaddr_in address() const { return listener_.address(); }
+  Seconds longest_pause() const { return longest_pause_; }  // of the loop, for one slice of any snapshot told
 
  private:
   class Session;
@@ -30,6 +31,7 @@
   const Source source_;
   const Limits& limits_;
   const Seconds started_;
+  Seconds longest_pause_ = 0;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
   net::Listener listener_;
 };
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,344 @@
+// The laboratory: scenarios, models against hand-reckoned figures, the auditor's catches, determinism.
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <filesystem>
+
+#include "config/fields.h"
+#include "lab/auditor.h"
+#include "lab/event_queue.h"
+#include "lab/simulation.h"
+#include "lab/statistics.h"
+
+namespace opalroute::lab {
+namespace {
+
+using nlohmann::json;
+
+// ---- the queues ----------------------------------------------------------------------------------------
+
+template <typename Queue>
+std::vector<std::uint64_t> Drain(std::uint64_t seed) {
+  Queue queue;
+  pcg32 random(seed);
+  std::vector<std::uint64_t> order;
+  Micros now = 0;
+  for (int i = 0; i < 20000; ++i) {
+    if (queue.empty() || random(3) != 0) {
+      queue.Push(now + random(random(2) == 0 ? 10 : 1'000'000), random());
+    } else {
+      const auto event = queue.Pop();
+      CHECK(event.at >= now);
+      now = event.at;
+      order.push_back(event.number);
+    }
+  }
+  while (!queue.empty()) order.push_back(queue.Pop().number);
+  return order;
+}
+
+TEST_CASE("lab: both event queues give the same order, first in first out at one time") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    CHECK(Drain<HeapQueue<std::uint32_t>>(seed) == Drain<CalendarQueue<std::uint32_t>>(seed));
+}
+
+// ---- scenarios -------------------------------------------------------------------------------------------
+
+std::string FaultOf(const json& file) {
+  try {
+    ReadScenario(file);
+  } catch (const config::FieldError& fault) { return fault.what(); }
+  return {};
+}
+
+TEST_CASE("lab: every fault of a scenario is told with the path of its key") {
+  CHECK(FaultOf(json::object()).empty());
+  CHECK(FaultOf({{"relays", 0}}) == "'relays' must be a whole number from 1 to 1000");
+  CHECK(FaultOf({{"load", {{"rate", "fast"}}}}) == "'load.rate' must be a number from 0.01 to 1000000.0");
+  CHECK(FaultOf({{"load", {{"burst", 1}}}}) == "'load.burst' is not known");
+  CHECK(FaultOf({{"troubles", {{{"kind", "flood"}, {"share", 0.1}}}}}) ==
+        "'troubles[0].kind' must be one of shut, refuse, hang, reset, errors, slow");
+  CHECK(FaultOf({{"troubles", {{{"kind", "shut"}, {"partner", 10}}}}}).find("'troubles[0].partner'") == 0);
+  CHECK(FaultOf({{"relay_faults", {{{"kind", "kill"}, {"relay", 2}}}}}) ==
+        "'relay_faults[0].relay' must be a whole number from 0 to 1");
+  CHECK(FaultOf({{"partners", {{"endpoints", {4, 1}}}}}).find("'partners.endpoints' must be two numbers") ==
+        0);
+  CHECK(FaultOf({{"relays", 0}, {"zap", 1}}).find("; ") != std::string::npos);  // all at once
+  json file = json::object();
+  SetByPath(file, "load.rate=30");
+  SetByPath(file, "name=x");
+  CHECK(file == json{{"load", {{"rate", 30}}}, {"name", "x"}});
+  CHECK_THROWS_AS(SetByPath(file, "load"), config::FieldError);
+}
+
+TEST_CASE("lab: the scenarios that come with it are sound") {
+  int count = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS)) {
+    CAPTURE(entry.path().string());
+    CHECK_NOTHROW(LoadScenario(entry.path().string()));
+    ++count;
+  }
+  CHECK(count >= 10);
+}
+
+// ---- the model of a lane
+// -----------------------------------------------------------------------------------
+
+TEST_CASE("lab: a plain rate and a count in a window, as reckoned by hand") {
+  LaneSettings s;
+  s.limit = 10;
+  s.tells_wait = 1;
+  s.wait = 0.3;
+  s.refused_count = false;
+  LaneModel rate(s, {}, 1);
+  int served = 0;
+  for (int i = 0; i < 3000; ++i) served += rate.Take(100 + i * 0.01).fate == LaneModel::Fate::kServed;
+  CHECK(served >= 300);  // 30 s at 10 a second, and the half second that may come at once
+  CHECK(served <= 306);
+  s.window = 1;
+  LaneModel window(s, {}, 1);
+  served = 0;
+  for (int i = 0; i < 100; ++i) served += window.Take(200.2 + i * 0.001).fate == LaneModel::Fate::kServed;
+  CHECK(served == 10);
+  const auto full = window.Take(200.4);
+  CHECK(full.fate == LaneModel::Fate::kFull);
+  CHECK(full.wait == doctest::Approx(0.6));  // to the end of the span
+  CHECK(window.Take(201).fate == LaneModel::Fate::kServed);
+}
+
+TEST_CASE("lab: cold return, and the fall of one that is sent too much") {
+  LaneSettings s;
+  s.capacity = 50;
+  s.tells_wait = 1;
+  LaneModel lane(s, {{TroubleKind::kShut, 10, 20}}, 1);
+  CHECK(lane.CapacityAt(9) == 50);
+  CHECK(lane.CapacityAt(15) == 0);
+  CHECK(lane.OutAt(15));
+  CHECK(lane.Take(15).wait == doctest::Approx(5));
+  CHECK(lane.CapacityAt(20) == doctest::Approx(11));  // 22%
+  CHECK(lane.CapacityAt(26.5) == doctest::Approx(30.5));
+  CHECK(lane.CapacityAt(33) == doctest::Approx(50));
+  CHECK(lane.ColdAt(32.9));
+  CHECK(!lane.ColdAt(33));
+  // At 20 s it stands 2 x 11 x 2 = 44 calls in 2 s, and twice the root of that for chance: the 58th fells it.
+  int calls = 0;
+  while (!lane.collapsed() && calls < 200) {
+    lane.Take(20 + calls * 1e-6);
+    ++calls;
+  }
+  CHECK(calls == 58);
+  CHECK(lane.Take(40).fate == LaneModel::Fate::kFull);
+  LaneModel spared(s, {{TroubleKind::kShut, 10, 20}}, 1);
+  for (int i = 0; i < 200; ++i) spared.Take(20 + i * 0.05);  // 20 a second
+  CHECK(!spared.collapsed());
+}
+
+// ---- the auditor: each breach, committed and caught
+// -----------------------------------------------------------
+
+class Audit {
+ public:
+  Audit() {
+    MessageClass safe, keyed, unsafe;
+    keyed.effect = Effect::kKeyed;
+    keyed.key_window = 12;
+    unsafe.effect = Effect::kUnsafe;
+    auditor = std::make_unique<Auditor>(Auditor::Rules{}, std::vector<MessageClass>{safe, keyed, unsafe});
+    auditor->Listed(1, 7, 1);
+    auditor->Listed(2, 7, 1);
+    auditor->Listed(3, 8, 3);
+  }
+  void Take(std::uint64_t id, int message_class, Seconds now = 0) {
+    auditor->Taken(now, 0, id, 100 + id, message_class, 7, now + 8);
+  }
+  void Only(BreachKind kind, int count = 1) {
+    CHECK(auditor->breaches().size() == static_cast<std::size_t>(count));
+    CHECK(auditor->Count(kind) == count);
+  }
+  std::unique_ptr<Auditor> auditor;
+};
+
+TEST_CASE("lab: the auditor lets a sound life pass") {
+  Audit a;
+  for (int c = 0; c < 3; ++c) {
+    a.Take(static_cast<std::uint64_t>(c), c);
+    a.auditor->Sent(1, 0, static_cast<std::uint64_t>(c), 1);
+    a.auditor->Over(static_cast<std::uint64_t>(c), 0, false);
+    a.auditor->Sent(2, 0, static_cast<std::uint64_t>(c), 2);
+    a.auditor->Ran(2.1, static_cast<std::uint64_t>(c));
+    a.auditor->Over(static_cast<std::uint64_t>(c), 1, true);
+    a.auditor->Ended(2.2, static_cast<std::uint64_t>(c), Auditor::End::kDelivered);
+  }
+  a.auditor->Until(100);
+  CHECK(a.auditor->breaches().empty());
+  CHECK(a.auditor->open() == 0);
+}
+
+TEST_CASE("lab: the auditor catches each breach") {
+  SUBCASE("two answers") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->Ended(1, 1, Auditor::End::kFailed);
+    a.auditor->Ended(2, 1, Auditor::End::kRefused);
+    a.Only(BreachKind::kTwoAnswers);
+  }
+  SUBCASE("no answer in time") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->Until(8.06);
+    CHECK(a.auditor->breaches().empty());
+    a.auditor->Until(8.08);
+    a.Only(BreachKind::kNoAnswer);
+  }
+  SUBCASE("none after a death either, once its time is past") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->RelayDied(0, 10);
+    a.auditor->Until(9.9);
+    CHECK(a.auditor->breaches().empty());
+    a.auditor->Until(10.1);
+    a.Only(BreachKind::kNoAnswer);
+  }
+  SUBCASE("sent after its end") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->Ended(1, 1, Auditor::End::kFailed);
+    a.auditor->Sent(2, 0, 1, 1);
+    a.Only(BreachKind::kAfterEnd);
+  }
+  SUBCASE("a payment sent again while the first is out, and after it may have run") {
+    Audit a;
+    a.Take(1, 2);
+    a.auditor->Sent(1, 0, 1, 1);
+    a.auditor->Sent(1.1, 0, 1, 2);
+    a.Only(BreachKind::kUnsafeRepeat);
+    a.auditor->Over(1, 0, true);
+    a.auditor->Over(1, 1, false);
+    a.auditor->Sent(2, 0, 1, 2);
+    a.Only(BreachKind::kUnsafeRepeat, 2);
+  }
+  SUBCASE("a payment that took effect twice, also by two handings-in") {
+    Audit a;
+    a.auditor->Taken(0, 0, 1, 50, 2, 7, 8);
+    a.auditor->Taken(0, 1, 2, 50, 2, 7, 8);
+    a.auditor->Ran(1, 1);
+    a.auditor->Ran(2, 2);
+    a.Only(BreachKind::kRanTwice);
+  }
+  SUBCASE("a keyed one repeated after its window, and taking effect there") {
+    Audit a;
+    a.auditor->Taken(0, 0, 1, 50, 1, 7, 30);
+    a.auditor->Sent(1, 0, 1, 1);
+    a.auditor->Ran(1.1, 1);
+    a.auditor->Over(1, 0, true);
+    a.auditor->Sent(12.9, 0, 1, 1);
+    a.auditor->Over(1, 1, true);
+    CHECK(a.auditor->breaches().empty());
+    a.auditor->Sent(13.1, 0, 1, 1);
+    a.Only(BreachKind::kKeyedRepeat);
+    a.auditor->Ran(13.2, 1);
+    CHECK(a.auditor->Count(BreachKind::kKeyRanTwice) == 1);
+  }
+  SUBCASE("a payment handed back that may have run") {
+    Audit a;
+    a.Take(1, 2);
+    a.auditor->Sent(1, 0, 1, 1);
+    a.auditor->Over(1, 0, true);
+    a.auditor->Ended(2, 1, Auditor::End::kRefused);
+    a.Only(BreachKind::kUnsafeRefused);
+  }
+  SUBCASE("sent in a told wait; another relay, and after a restart, may") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->Taken(0, 1, 2, 2, 0, 7, 8);
+    a.auditor->ToldWait(1, 0, 1, 3);
+    a.auditor->ToldWait(1.5, 0, 1, 0.1);  // a shorter one ends nothing
+    a.auditor->Sent(2, 1, 2, 1);
+    CHECK(a.auditor->breaches().empty());
+    a.auditor->Sent(3.9, 0, 1, 2);
+    a.Only(BreachKind::kInWait);
+    a.auditor->RelayDied(0, 4);
+    a.auditor->Sent(3.95, 0, 1, 2);
+    a.Only(BreachKind::kInWait);
+  }
+  SUBCASE("sent to a drained endpoint after the grace") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->ToldDrain(1, 0, 1);
+    a.auditor->Sent(2.9, 0, 1, 1);
+    CHECK(a.auditor->breaches().empty());
+    a.auditor->Sent(3.1, 0, 1, 1);
+    a.Only(BreachKind::kDrained);
+  }
+  SUBCASE("sent to another destination's endpoint, or to one never listed") {
+    Audit a;
+    a.Take(1, 0);
+    a.auditor->Sent(1, 0, 1, 3);
+    a.auditor->Sent(1, 0, 1, 99);
+    a.Only(BreachKind::kForeign, 2);
+  }
+  SUBCASE("a returning lane pushed over by those who knew") {
+    for (const bool knew : {false, true}) {
+      Audit a;
+      if (knew) a.auditor->SawOutage(0, 1);
+      for (int i = 0; i < 30; ++i) a.auditor->ReachedCold(20 + i * 0.01, 0, 1, i == 29);
+      a.Only(BreachKind::kPushedOver, knew ? 1 : 0);
+    }
+  }
+}
+
+// ---- runs
+// --------------------------------------------------------------------------------------------------
+
+json Small() {
+  return {{"relays", 2},
+          {"lasts_s", 20},
+          {"load", {{"rate", 30}, {"clump_share", 0.15}}},
+          {"partners", {{"count", 8}, {"apart", 0.3}, {"bundle", 5}}},
+          {"troubles", {{{"kind", "shut"}, {"share", 0.2}, {"from_s", 5}, {"lasts_s", 6}}}},
+          {"pool_changes", {{{"kind", "replace"}, {"at_s", 8}, {"share", 0.3}}}},
+          {"relay_faults", {{{"kind", "kill"}, {"relay", 0}, {"at_s", 9}, {"down_s", 1}}}}};
+}
+
+TEST_CASE("lab: the same seed gives the same run to the byte, another one another") {
+  const Scenario scenario = ReadScenario(Small());
+  const std::string first = Simulation(scenario, 1).Run().ToJson().dump();
+  CHECK(first == Simulation(scenario, 1).Run().ToJson().dump());
+  CHECK(first != Simulation(scenario, 2).Run().ToJson().dump());
+}
+
+TEST_CASE("lab: runs account for every message and keep the rules") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    const RunResult result = Simulation(ReadScenario(Small()), seed).Run();
+    long asked = 0, delivered = 0, offered = 0;
+    for (const ClassOutcome& c : result.classes) {
+      asked += c.asked;
+      delivered += c.delivered;
+      CHECK(c.latency.count() == c.delivered);
+    }
+    for (const Second& second : result.seconds) offered += second.offered;
+    CHECK(asked == offered);
+    CHECK(asked > 400);
+    CHECK(delivered > asked / 2);
+    CHECK(result.calls > 0);
+    for (const Breach& breach : result.breaches)
+      FAIL_CHECK(NameOf(breach.kind), " ", breach.at, " ", breach.trace);
+  }
+}
+
+TEST_CASE("lab: a bootstrap interval finds a difference that is there, and none where there is none") {
+  std::vector<double> apart, same;
+  pcg32 random(3);
+  for (int i = 0; i < 30; ++i) {
+    const double noise = static_cast<double>(random()) * 0x1p-32 - 0.5;
+    apart.push_back(0.4 + noise * 0.2);
+    same.push_back((i % 2 == 0 ? 1 : -1) * (0.1 + std::abs(noise)));
+  }
+  CHECK(Bootstrap(apart).differs());
+  CHECK(Bootstrap(apart).median == doctest::Approx(0.4).epsilon(0.2));
+  CHECK(!Bootstrap(same).differs());
+}
+
+}  // namespace
+}  // namespace opalroute::lab
--- a/tests/learning_test.cpp
+++ b/tests/learning_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <limits>
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "lab/clock.h"
@@ -19,6 +20,8 @@
 #include "learning/state_file.h"
 #include "net/address.h"
 #include "net/framing.h"
+#include "program.h"
+#include "relay/relay.h"
 
 namespace opalroute::learning {
 namespace {
@@ -108,6 +111,16 @@
   CHECK(*Judged({Out(1, 3), served})->out == 3);
 }
 
+TEST_CASE("learning: a donor that is an hour behind tells nothing that counts") {
+  Heard hour = Out(1, 3599);
+  hour.belief.back = hour.belief.refused = hour.belief.measured = hour.belief.barred = hour.belief.served =
+      3599;
+  hour.belief.pace = hour.belief.latency = 1;
+  Tally tally;
+  CHECK(!Judged({hour}, 0, &tally));
+  CHECK(tally.stale >= 4);
+}
+
 TEST_CASE("learning: no more lanes are kept than allowed") {
   Judge judge({}, 3);
   for (int i = 0; i < 10; ++i) judge.Add(0, Wait(i, 1), 0);
@@ -447,6 +460,103 @@
   fs::remove_all(folder);
 }
 
+// ---- whole relays
+// ----------------------------------------------------------------------------------------------
+
+// Taken and given back: relays name one another's addresses before they run.
+std::string FreeAddress() {
+  const int fd = net::OpenListener(*net::ParseAddress("127.0.0.1:0"));
+  const std::string address = net::FormatAddress(net::BoundAddress(fd));
+  close(fd);
+  return address;
+}
+
+nlohmann::json BaseConfig(const fs::path& state, const std::string& name) {
+  nlohmann::json config;
+  std::ifstream(fs::path(EXCHANGES) / "base.json") >> config;
+  fs::create_directories(state);
+  config["name"] = name;
+  config["state"] = state.string();
+  config["discovery"] = "127.0.0.1:1";
+  config["known"]["instances"].push_back({{"instanceId", "e1"},
+                                          {"hostPort", "127.0.0.1:1"},
+                                          {"zone", "ground"},
+                                          {"machineType", "small"},
+                                          {"cell", 7},
+                                          {"lifecycle", "ready"},
+                                          {"weight", 20.0}});
+  return config;
+}
+
+TEST_CASE("learning: a whole tier that starts at once, each from the others") {
+  spdlog::set_level(spdlog::level::off);
+  const fs::path folder = fs::temp_directory_path() / ("opalroute-tier-" + std::to_string(getpid()));
+  Net net;
+  const std::vector<std::string> addresses = {FreeAddress(), FreeAddress(), FreeAddress()};
+  std::vector<std::unique_ptr<Config>> configs;
+  std::vector<std::unique_ptr<Relay>> tier;
+  for (std::size_t i = 0; i < 3; ++i) {
+    const std::string name = "n" + std::to_string(i);
+    configs.push_back(std::make_unique<Config>(
+        config::Parse(BaseConfig(folder / name, name), [](const char*) { return std::nullopt; })));
+    Operator settings;
+    settings.learn.listen = net::ParseAddress(addresses[i]);
+    for (const std::string& address : addresses)  // itself too
+      settings.learn.from.push_back(*net::ParseAddress(address));
+    tier.push_back(std::make_unique<Relay>(net.loop, *configs.back(), settings));
+  }
+  const auto ready = [&] {
+    return std::all_of(tier.begin(), tier.end(), [](const auto& relay) { return relay->learning()->done(); });
+  };
+  CHECK(!ready());
+  const Seconds began = net.clock.Now();
+  net.Until(ready);
+  CHECK(ready());
+  CHECK(net.clock.Now() - began < 0.31);
+  tier.clear();
+  fs::remove_all(folder);
+}
+
+TEST_CASE("learning: processes; the donor runs, stands still, and the learner is killed while it learns") {
+  const fs::path folder = fs::temp_directory_path() / ("opalroute-processes-" + std::to_string(getpid()));
+  const auto write = [&](const std::string& name) {
+    const fs::path file = folder / (name + ".json");
+    const auto config = BaseConfig(folder / name, name);
+    std::ofstream(file) << config.dump();
+    return file;
+  };
+  const fs::path donor_config = write("donor"), learner_config = write("learner");
+  const std::string address = FreeAddress();
+  Program donor(donor_config, "127.0.0.1:1", {"run", "--learn-listen", address});
+  REQUIRE(donor.Says("listening"));
+  const auto learn = [&](const char* milliseconds) {
+    return std::vector<std::string>{"run",           "--learn-from",    address,
+                                    "--learn-state", "--learn-time-ms", milliseconds};
+  };
+  {
+    Program learner(learner_config, "127.0.0.1:1", learn("10000"));
+    const std::string heard = learner.Line("learn_heard");
+    CHECK_MESSAGE(heard.find("name=donor end=whole") != std::string::npos, heard);
+    CHECK(learner.Says("learned carrier=tcp"));
+  }
+  donor.Signal(SIGSTOP);
+  {
+    Program learner(learner_config, "127.0.0.1:1", learn("50"));
+    CHECK(learner.Line("learn_heard").find("end=late") != std::string::npos);
+    CHECK(learner.Says("learned carrier=tcp lanes=0"));
+  }
+  {
+    Program killed(learner_config, "127.0.0.1:1", learn("10000"));
+    REQUIRE(killed.Says("listening"));
+  }  // SIGKILL
+  donor.Signal(SIGCONT);
+  Program again(learner_config, "127.0.0.1:1", learn("10000"));
+  CHECK(again.Line("learn_heard carrier=tcp").find("end=whole") != std::string::npos);
+  again.Signal(SIGTERM);
+  CHECK(again.ExitStatus() == 0);
+  fs::remove_all(folder);
+}
+
 // ---- the experiment
 // -------------------------------------------------------------------------------------------
 
