Drop dead code of learning and laboratory; one reader of a scenario's file

Cause: a read of the whole change found Tally::Add, Auditor::OutageEnds, World::Struck and lane_count without a caller, a check that can't be true, an unused parameter, and the reading of a scenario's file written twice. Change: they are gone; LoadScenario and the program share ReadScenarioFile.

--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -67,7 +67,6 @@
   void ToldDrain(Seconds now, int relay, EndpointId endpoint);
   void ToldWait(Seconds now, int relay, std::uint64_t lane, Seconds wait);
   void SawOutage(int relay, std::uint64_t lane);  // a call or probe failed, or was refused, while it lasted
-  void OutageEnds(std::uint64_t lane) { informed_now_.erase(lane); }  // a new one has to be seen anew
   void ReachedCold(Seconds now, int relay, std::uint64_t lane, bool fell_over);
   // Ends its waits and what it knew. What it held may be answered late until `excused`.
   void RelayDied(int relay, Seconds excused);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -32,21 +32,10 @@
   return usage.ru_maxrss / 1024;
 }
 
-json ReadJson(const std::string& path) {
-  std::ifstream stream(path);
-  if (!stream) throw opalroute::config::FieldError("the scenario '" + path + "' can't be read");
-  try {
-    return json::parse(stream);
-  } catch (const json::parse_error& error) {
-    throw opalroute::config::FieldError("the scenario '" + path + "' is no JSON at byte " +
-                                        std::to_string(error.byte));
-  }
-}
-
 // `FILE` or `FILE,key=value,...`, then what --set says.
 Scenario ReadWith(const std::string& what, const std::vector<std::string>& sets) {
   std::vector<std::string> parts = CLI::detail::split(what, ',');
-  json file = ReadJson(parts[0]);
+  json file = ReadScenarioFile(parts[0]);
   for (std::size_t i = 1; i < parts.size(); ++i) SetByPath(file, parts[i]);
   for (const std::string& set : sets) SetByPath(file, set);
   return ReadScenario(file);
@@ -178,8 +167,7 @@
     }
     std::printf("\n");
   }
-  return std::any_of(results.begin(), results.end(),
-                     [](const RunResult& r) { return !r.breaches.empty() ? true : false; })
+  return std::any_of(results.begin(), results.end(), [](const RunResult& r) { return !r.breaches.empty(); })
              ? 1
              : 0;
 }
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -324,18 +324,18 @@
   return s;
 }
 
-Scenario LoadScenario(const std::string& path) {
+json ReadScenarioFile(const std::string& path) {
   std::ifstream stream(path);
   if (!stream) throw FieldError("the scenario '" + path + "' can't be read");
-  json file;
   try {
-    file = json::parse(stream);
+    return json::parse(stream);
   } catch (const json::parse_error& error) {
     throw FieldError("the scenario '" + path + "' is no JSON at byte " + std::to_string(error.byte));
   }
-  return ReadScenario(file);
 }
 
+Scenario LoadScenario(const std::string& path) { return ReadScenario(ReadScenarioFile(path)); }
+
 void SetByPath(json& file, const std::string& assignment) {
   const std::size_t equals = assignment.find('=');
   if (equals == std::string::npos || equals == 0)
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -95,6 +95,8 @@
 
 // Throws config::Faults, one line a fault.
 Scenario ReadScenario(const nlohmann::json& json);
+// Throws config::FieldError if there is no such file, or no JSON in it.
+nlohmann::json ReadScenarioFile(const std::string& path);
 Scenario LoadScenario(const std::string& path);
 
 // Puts `value` (JSON, or else a text) at the dotted path of a scenario's JSON, as `--set load.rate=30` does.
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -479,7 +479,6 @@
 }
 
 void Simulation::ChangeList(const PoolChange& change) {
-  if (change.share < 0) return;
   const std::size_t count = listings_.size();
   for (EndpointId id = 1; id <= count; ++id) {
     if (listings_[id - 1] != Listing::kInService || Draw({0, 1}) >= change.share) continue;
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -88,7 +88,6 @@
 }
 
 std::uint32_t World::AddLane(const LaneSettings& settings, std::vector<LaneOutage> outages) {
-  struck_.push_back(!outages.empty());
   lanes_.push_back(std::make_unique<LaneModel>(settings, std::move(outages), random_()));
   return static_cast<std::uint32_t>(lanes_.size() - 1);
 }
--- a/lab/world.h
+++ b/lab/world.h
@@ -38,9 +38,6 @@
   const PartnerEndpoint& endpoint(EndpointId id) const { return endpoints_[id - 1]; }  // ids count from 1
   std::size_t endpoint_count() const { return endpoints_.size(); }
   LaneModel& lane(std::uint32_t index) { return *lanes_[index]; }
-  std::size_t lane_count() const { return lanes_.size(); }
-  // Which lanes an outage strikes, of all troubles of the scenario that count as one.
-  bool Struck(std::uint32_t lane) const { return struck_[lane]; }
 
   // Another machine takes the endpoint's place, under a new id; the lane of a shared limit stays.
   EndpointId Replace(EndpointId old);
@@ -58,7 +55,6 @@
   std::vector<WorldPartner> partners_;
   std::vector<PartnerEndpoint> endpoints_;
   std::vector<std::unique_ptr<LaneModel>> lanes_;
-  std::vector<bool> struck_;
   std::vector<std::vector<bool>> struck_by_;  // by trouble, by partner
 };
 
--- a/src/learning/judge.cpp
+++ b/src/learning/judge.cpp
@@ -2,27 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <optional>
 
 namespace opalroute::learning {
 
 double HealthWeight(Seconds age) { return std::exp2(-std::max(0.0, age) / kHealthHalfLife); }
 
-void Tally::Add(const Tally& o) {
-  waits += o.waits;
-  outages += o.outages;
-  ramps += o.ramps;
-  paces += o.paces;
-  latencies += o.latencies;
-  barred += o.barred;
-  stale += o.stale;
-  out_of_range += o.out_of_range;
-  waits_cut += o.waits_cut;
-  contradicted += o.contradicted;
-  too_many += o.too_many;
-}
-
 void Judge::Add(int donor, const Heard& heard, Seconds made) {
   const Lane key{heard.belief.destination, heard.endpoint};
   auto it = lanes_.find(key);
--- a/src/learning/judge.h
+++ b/src/learning/judge.h
@@ -44,8 +44,6 @@
 struct Tally {
   int waits = 0, outages = 0, ramps = 0, paces = 0, latencies = 0, barred = 0;  // taken
   int stale = 0, out_of_range = 0, waits_cut = 0, contradicted = 0, too_many = 0;
-  void Add(const Tally& other);
-  int taken() const { return waits + outages + ramps + paces + latencies + barred; }
 };
 
 class Judge {
--- a/src/learning/learner.cpp
+++ b/src/learning/learner.cpp
@@ -39,7 +39,7 @@
     report().end = how;
     report().took = learner_.loop_.Now() - asked_;
     Shut();
-    learner_.Ended(donor_);
+    learner_.Ended();
   }
 
  private:
@@ -105,7 +105,7 @@
   for (const auto& session : sessions_) session->Shut();
 }
 
-void Learner::Ended(int) {
+void Learner::Ended() {
   if (--running_ > 0 || timer_ == 0) return;
   // Not from inside a session's own callback, nor from the constructor.
   loop_.Cancel(timer_);
--- a/src/learning/learner.h
+++ b/src/learning/learner.h
@@ -41,7 +41,7 @@
 
  private:
   class Session;
-  void Ended(int donor);
+  void Ended();
   void Finish();
 
   net::EventLoop& loop_;
