--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -81,6 +81,10 @@
                                [](const Attempt& a) { return a.out || a.may_have_run; });
   const bool binds = c.effect == Effect::kUnsafe || (c.effect == Effect::kKeyed && c.group != KeyGroup::kAll);
   if (end == End::kRefused && ran && binds) Report(BreachKind::kUnsafeRefused, now, m.relay, message, 0);
+  if (end == End::kWithdrawn) {
+    const auto run = first_run_.find(m.origin);
+    if (run != first_run_.end() && run->second.second == message) first_run_.erase(run);
+  }
   m.over = true;
   deadlines_.erase({m.deadline + rules_.answer_slack, message});
   ForgetIfDone(message);
@@ -128,7 +132,7 @@
   if (drain != drains_.end() && now > drain->second + rules_.drain_grace)
     Report(BreachKind::kDrained, now, relay, id, endpoint);
   const auto wait = waits_.find({relay, place->second.lane});
-  if (wait != waits_.end() && now > wait->second.first && now < wait->second.second)
+  if (wait != waits_.end() && now > wait->second.first + rules_.wait_grace && now < wait->second.second)
     Report(BreachKind::kInWait, now, relay, id, endpoint);
 }
 
@@ -178,7 +182,9 @@
 
 void Auditor::ToldWait(Seconds now, int relay, std::uint64_t lane, Seconds wait) {
   auto& known = waits_[{relay, lane}];
-  if (now + wait > known.second) known = {now, now + wait};
+  if (now + wait <= known.second) return;
+  if (known.second <= now) known.first = now;
+  known.second = now + wait;
 }
 
 void Auditor::SawOutage(int relay, std::uint64_t lane) { informed_now_[lane].insert(relay); }
@@ -200,6 +206,11 @@
   breaches_.push_back({BreachKind::kPushedOver, now, relay, 0, 0, trace});
 }
 
+void Auditor::Excuse(int relay, Seconds until) {
+  Seconds& excused = excused_[relay];
+  excused = std::max(excused, until);
+}
+
 void Auditor::RelayDied(int relay, Seconds excused) {
   excused_[relay] = excused;
   for (auto it = waits_.begin(); it != waits_.end();)
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -44,7 +44,7 @@
   struct Rules {
     Seconds answer_slack = 0.07;  // past a message's time
     Seconds drain_grace = 2;
-    Seconds wait_grace = 0.1;  // calls that arrive so soon after a wait was told had left before
+    Seconds wait_grace = 0;  // calls that arrive so soon after a wait was told had left before
     double informed_part = 2.0 / 3;
     Seconds overload_for = 2;
   };
@@ -54,6 +54,7 @@
   // `origin`: the same for all handings-in of one message of a client.
   void Taken(Seconds now, int relay, std::uint64_t message, std::uint64_t origin, int message_class,
              DestinationId destination, Seconds deadline);
+  // Withdrawn: the client got no answer in time, and nothing done under this id counts any more.
   enum class End { kDelivered, kRefused, kFailed, kWithdrawn };
   void Ended(Seconds now, std::uint64_t message, End end);
   void Sent(Seconds now, int relay, std::uint64_t message, EndpointId endpoint);
@@ -70,6 +71,7 @@
   void ReachedCold(Seconds now, int relay, std::uint64_t lane, bool fell_over);
   // Ends its waits and what it knew. What it held may be answered late until `excused`.
   void RelayDied(int relay, Seconds excused);
+  void Excuse(int relay, Seconds until);  // nothing that it holds is overdue before
 
   const std::vector<Breach>& breaches() const { return breaches_; }
   int Count(BreachKind kind) const;
--- /dev/null
+++ b/lab/experiments/experiments.h
@@ -0,0 +1,13 @@
+// Experiments of one subsystem each, as commands of opalroute-lab. They print Markdown and return the exit
+// status: 1 if what they claim does not hold.
+#pragma once
+
+namespace opalroute::lab {
+
+// Relays that start while their partner is shut, with and without learning, medians over seeds.
+int LearningTable(int seeds);
+
+// One snapshot of so many destinations from process to process: time, bytes, the donor's CPU and pauses.
+int SnapshotTable(int destinations, int runs);
+
+}  // namespace opalroute::lab
--- a/lab/learning_experiment.cpp
+++ b/lab/experiments/learning_experiment.cpp
@@ -1,4 +1,4 @@
-#include "lab/learning_experiment.h"
+#include "lab/experiments/learning_experiment.h"
 
 #include <algorithm>
 #include <filesystem>
--- a/lab/learning_main.cpp
+++ b/lab/experiments/learning_table.cpp
@@ -1,9 +1,7 @@
 // Measures learning from a running instance: medians and worst cases over seeds, with and without it.
-// opalroute_lab_learning [--seeds N] prints a Markdown table; exit status 1 if the claim does not hold.
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -12,7 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/learning_experiment.h"
+#include "lab/experiments/experiments.h"
+#include "lab/experiments/learning_experiment.h"
 
 namespace {
 
@@ -50,12 +49,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  int seeds = 20;
-  CLI::App app{
-      "A relay that starts while its partner is shut, with and without learning from a running one."};
-  app.add_option("--seeds", seeds, "runs of each arm")->check(CLI::Range(1, 1000));
-  CLI11_PARSE(app, argc, argv);
+int opalroute::lab::LearningTable(int seeds) {
   if (std::getenv("LAB_LOG") == nullptr) spdlog::set_level(spdlog::level::off);
   const std::string folder =
       (std::filesystem::temp_directory_path() / ("opalroute-lab-" + std::to_string(getpid()))).string();
--- a/lab/snapshot_main.cpp
+++ b/lab/experiments/snapshot_table.cpp
@@ -5,7 +5,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
@@ -13,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/experiments/experiments.h"
 #include "learning/donor.h"
 #include "learning/learner.h"
 #include "learning/notes.h"
@@ -157,12 +157,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  int destinations = 20000, runs = 9;
-  CLI::App app{"One snapshot over loopback, as long as a relay of that many destinations has one."};
-  app.add_option("--destinations", destinations)->check(CLI::Range(1, 50000));
-  app.add_option("--runs", runs)->check(CLI::Range(1, 100));
-  CLI11_PARSE(app, argc, argv);
+int opalroute::lab::SnapshotTable(int destinations, int runs) {
   spdlog::set_level(spdlog::level::off);
   std::vector<std::vector<double>> figures(5);
   for (int run = 0; run < runs; ++run) {
--- a/lab/lane_model.h
+++ b/lab/lane_model.h
@@ -69,6 +69,7 @@
   bool OutAt(Seconds now) const;
   bool collapsed() const { return collapsed_; }
   const LaneSettings& settings() const { return s_; }
+  const std::vector<LaneOutage>& outages() const { return outages_; }
 
  private:
   const LaneOutage* At(Seconds now) const;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -14,7 +15,11 @@
 #include <thread>
 
 #include "config/fields.h"
+#include "lab/capacity/capacity.h"
+#include "lab/experiments/experiments.h"
+#include "lab/report/report.h"
 #include "lab/simulation.h"
+#include "lab/sockets/play.h"
 #include "lab/statistics.h"
 
 namespace {
@@ -76,6 +81,16 @@
       "failed %ld, collapses %ld\n",
       r.calls, r.full, r.errors, r.timeouts, r.unconnected, r.resets, r.probes, r.refused, r.failed,
       r.collapses);
+  if (r.answer_time.count() > 0)
+    std::printf(
+        "202 after: p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; the laboratory was late by %.1f ms (p99), "
+        "%.1f ms (most)\n",
+        r.answer_time.At(0.5) * 1e3, r.answer_time.At(0.99) * 1e3, r.answer_time.At(0.999) * 1e3,
+        r.lateness_p99 * 1e3, r.lateness_most * 1e3);
+  if (!r.void_because.empty()) std::printf("VOID: %s\n", r.void_because.c_str());
+  for (const Crash& c : r.crashes)
+    std::printf("CRASH of relay %d at %.3f s: %s; its log ends:\n%s", c.relay, c.at, c.how.c_str(),
+                c.last_log.c_str());
   for (std::size_t i = 0; i < r.breaches.size() && i < 10; ++i) {
     const Breach& b = r.breaches[i];
     std::printf("BREACH %s at %.3f s, relay %d, message %llu, endpoint %u: %s\n", NameOf(b.kind), b.at,
@@ -85,24 +100,65 @@
   if (r.breaches.size() > 10) std::printf("... %zu breaches in all\n", r.breaches.size());
 }
 
-int Run(const std::string& what, const std::vector<std::string>& sets, std::uint64_t seed,
-        const std::string& out) {
-  const Scenario scenario = ReadWith(what, sets);
+volatile std::sig_atomic_t g_interrupted = 0;
+
+// The relay's program stands beside this one.
+std::string RelayBeside() {
+  std::error_code error;
+  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe", error);
+  return (self.parent_path() / "opalroute").string();
+}
+
+struct SocketOrder {
+  bool on = false;
+  std::string program, arguments;
+};
+
+RunResult PlayOnce(const Scenario& scenario, std::uint64_t seed, const SocketOrder& sockets,
+                   const std::string& out) {
   const bool shows = isatty(STDERR_FILENO) != 0;
-  const double began = WallSeconds();
-  Simulation simulation(scenario, seed);
-  const RunResult result = simulation.Run([&](double second) {
+  const auto progress = [&](double second) {
     if (shows) std::fprintf(stderr, "\r%.0f of %.0f s", second, scenario.lasts);
-  });
+  };
+  RunResult result;
+  if (sockets.on) {
+    SocketOptions options;
+    options.program = sockets.program.empty() ? RelayBeside() : sockets.program;
+    if (access(options.program.c_str(), X_OK) != 0)
+      throw std::runtime_error("there is no relay program at '" + options.program + "' (see --relay)");
+    options.relay_arguments = CLI::detail::split_up(sockets.arguments);
+    const bool keeps = !out.empty();
+    options.folder =
+        keeps ? out + "/relays"
+              : (std::filesystem::temp_directory_path() / ("opalroute-lab-" + std::to_string(getpid())))
+                    .string();
+    options.progress = progress;
+    options.interrupted = [] { return g_interrupted != 0; };
+    std::signal(SIGINT, [](int) { g_interrupted = 1; });
+    std::signal(SIGTERM, [](int) { g_interrupted = 1; });
+    std::signal(SIGPIPE, SIG_IGN);
+    result = PlayOnSockets(scenario, seed, options);
+    if (!keeps) std::filesystem::remove_all(options.folder);
+  } else {
+    result = Simulation(scenario, seed).Run(progress);
+  }
   if (shows) std::fprintf(stderr, "\r                    \r");
+  return result;
+}
+
+int Run(const std::string& what, const std::vector<std::string>& sets, std::uint64_t seed,
+        const std::string& out, const SocketOrder& sockets) {
+  const Scenario scenario = ReadWith(what, sets);
+  const double began = WallSeconds();
+  if (!out.empty()) std::filesystem::create_directories(out);
+  const RunResult result = PlayOnce(scenario, seed, sockets, out);
   Print(result);
-  std::printf("%ld events in %.2f s, peak memory %ld MB\n", result.events, WallSeconds() - began,
-              PeakMegabytes());
-  if (!out.empty()) {
-    std::filesystem::create_directories(out);
-    std::ofstream(out + "/result.json") << result.ToJson().dump(1) << '\n';
-  }
-  return result.breaches.empty() ? 0 : 1;
+  if (!sockets.on)
+    std::printf("%ld events in %.2f s, peak memory %ld MB\n", result.events, WallSeconds() - began,
+                PeakMegabytes());
+  if (!out.empty()) std::ofstream(out + "/result.json") << result.ToJson().dump(1) << '\n';
+  if (!result.void_because.empty()) return 3;
+  return result.Sound() ? 0 : 1;
 }
 
 struct Figure {
@@ -172,6 +228,55 @@
              : 0;
 }
 
+int Report(const std::vector<std::string>& folders, const std::string& out) {
+  std::vector<ReportRun> runs;
+  for (const std::string& folder : folders) runs.push_back(ReadRun(folder));
+  std::ofstream file(out);
+  file << WriteReport(runs);
+  if (!file.flush()) throw std::runtime_error("'" + out + "' can't be written");
+  std::printf("%s\n", out.c_str());
+  return 0;
+}
+
+int Capacity(CapacityOptions options) {
+  if (options.program.empty()) options.program = RelayBeside();
+  options.folder =
+      (std::filesystem::temp_directory_path() / ("opalroute-capacity-" + std::to_string(getpid()))).string();
+  std::signal(SIGPIPE, SIG_IGN);
+  const CapacityResult r = MeasureCapacity(options);
+  std::filesystem::remove_all(options.folder);
+  const auto median = [](const std::vector<Throughput>& all, double Throughput::*field) {
+    std::vector<double> values;
+    for (const Throughput& one : all) values.push_back(one.*field);
+    return Median(values);
+  };
+  std::printf("one core each, payments of 200 bytes, medians of %d rounds\n\n", options.rounds);
+  std::printf("| | messages a second | CPU a message, us | refused | broken |\n|---|---|---|---|---|\n");
+  const auto row = [&](const char* name, const std::vector<Throughput>& all) {
+    long refused = 0, broken = 0;
+    for (const Throughput& one : all) {
+      refused += one.refused;
+      broken += one.broken;
+    }
+    std::printf("| %s | %.0f | %.1f | %ld | %ld |\n", name, median(all, &Throughput::delivered),
+                median(all, &Throughput::cpu_us), refused, broken);
+  };
+  row("bare forwarder", r.forwarder);
+  row("relay, journal on", r.relay);
+  std::printf("\nrelay over forwarder: %.3f; its journal alone: %.1f us of CPU a message\n\n",
+              median(r.relay, &Throughput::delivered) / median(r.forwarder, &Throughput::delivered),
+              r.journal_us);
+  std::printf(
+      "| of capacity | messages a second | 202 after: p50 ms | p99 ms | p99.9 ms | refused | broken |\n"
+      "|---|---|---|---|---|---|---|\n");
+  for (const CapacityResult::Answer& a : r.answers)
+    std::printf("| %.0f%% | %.0f | %.2f | %.2f | %.2f | %ld | %ld |\n", a.share * 100, a.rate, a.p50 * 1e3,
+                a.p99 * 1e3, a.p99_9 * 1e3, a.refused, a.broken);
+  std::printf("\nmemory: %.0f bytes an open transaction (of %ld), %.0f bytes an idle destination (of %ld)\n",
+              r.bytes_per_transaction, r.transactions, r.bytes_per_destination, r.destinations);
+  return 0;
+}
+
 // The hold model of the literature on event queues: each event that leaves puts one in, at a drawn time after
 // it.
 template <typename Queue>
@@ -218,11 +323,16 @@
   std::vector<std::string> sets, values;
   std::uint64_t seed = 1;
   int seeds = 20, jobs = static_cast<int>(std::max(1U, std::thread::hardware_concurrency()));
-  CLI::App* run = app.add_subcommand("run", "play a scenario once; exit status 1 on a breach of a rule");
+  CLI::App* run = app.add_subcommand(
+      "run", "play a scenario once; exit status 1 on a breach or a crash, 3 if the run is void");
   run->add_option("SCENARIO", what, "a file, or FILE,key=value,...")->required();
   run->add_option("--seed", seed, "of everything drawn");
   run->add_option("--set", sets, "key=value, like load.rate=30");
-  run->add_option("--out", out, "folder for result.json");
+  run->add_option("--out", out, "folder for result.json, and for the relays' folders and logs");
+  SocketOrder sockets;
+  run->add_flag("--sockets", sockets.on, "real relay processes on loopback instead of simulated time");
+  run->add_option("--relay", sockets.program, "the relay's program; else the one beside this");
+  run->add_option("--relay-arguments", sockets.arguments, "for it, in one text, like '--log-level warn'");
   CLI::App* compare =
       app.add_subcommand("compare", "play two scenarios, or one with two settings, on the same seeds");
   compare->add_option("A", what, "a file, or FILE,key=value,...")->required();
@@ -238,12 +348,33 @@
   sweep->add_option("--jobs", jobs)->check(CLI::Range(1, 256));
   CLI::App* check = app.add_subcommand("check", "read a scenario and print every fault");
   check->add_option("SCENARIO", what)->required();
+  std::vector<std::string> folders;
+  std::string page = "report.html";
+  CLI::App* report = app.add_subcommand("report", "one page of HTML on runs that were kept with --out");
+  report->add_option("DIR", folders, "a run's folder; several stand side by side")->required();
+  report->add_option("--out", page, "the page")->capture_default_str();
+  CapacityOptions capacity;
+  CLI::App* cost = app.add_subcommand("capacity", "measure the relay's cost against a bare forwarder's");
+  cost->add_option("--relay", capacity.program, "the relay's program; else the one beside this");
+  cost->add_option("--seconds", capacity.seconds, "of each measurement")->check(CLI::Range(0.2, 600.0));
+  cost->add_option("--rounds", capacity.rounds)->check(CLI::Range(1, 100));
+  int destinations = 20000, rounds = 9;
+  CLI::App* learning =
+      app.add_subcommand("learning", "measure learning from a running instance; exit status 1 if it fails");
+  learning->add_option("--seeds", seeds, "runs of each arm")->check(CLI::Range(1, 1000));
+  CLI::App* snapshot = app.add_subcommand("snapshot", "measure one snapshot between two processes");
+  snapshot->add_option("--destinations", destinations)->check(CLI::Range(1, 50000));
+  snapshot->add_option("--runs", rounds)->check(CLI::Range(1, 100));
   CLI::App* queues = app.add_subcommand("queues", "measure the event queues");
   CLI11_PARSE(app, argc, argv);
   try {
-    if (*run) return Run(what, sets, seed, out);
+    if (*run) return Run(what, sets, seed, out, sockets);
     if (*compare) return Compare(what, other, sets, seeds, jobs);
     if (*sweep) return Sweep(what, key, values, seeds, jobs);
+    if (*learning) return LearningTable(seeds);
+    if (*snapshot) return SnapshotTable(destinations, rounds);
+    if (*cost) return Capacity(capacity);
+    if (*report) return Report(folders, page);
     if (*queues) return Queues();
     ReadWith(what, {});
     std::printf("the scenario is sound\n");
--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -1,6 +1,7 @@
 #include "lab/result.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace opalroute::lab {
 
@@ -28,6 +29,17 @@
   return quantiles;
 }
 
+nlohmann::json LatencyHistogram::Curve() const {
+  nlohmann::json curve = nlohmann::json::array();
+  for (int i = 0; i <= 80; ++i) {
+    const double nines = 0.05 * i;
+    const double left = std::pow(10.0, -nines);
+    if (left * static_cast<double>(count_) < 1) break;  // no message stands for it
+    curve.push_back({nines, At(1 - left)});
+  }
+  return curve;
+}
+
 double RunResult::Worth() const {
   double worth = 0, asked = 0;
   for (const ClassOutcome& c : classes) {
@@ -50,9 +62,23 @@
   return worst;
 }
 
+std::vector<PartnerOutcome> RunResult::WorstPartners(std::size_t most) const {
+  std::vector<PartnerOutcome> worst;
+  for (const PartnerOutcome& p : partners)
+    if (p.asked > 0) worst.push_back(p);
+  const auto share = [](const PartnerOutcome& p) {
+    return static_cast<double>(p.delivered) / static_cast<double>(p.asked);
+  };
+  std::stable_sort(worst.begin(), worst.end(),
+                   [&](const PartnerOutcome& a, const PartnerOutcome& b) { return share(a) < share(b); });
+  if (worst.size() > most) worst.resize(most);
+  return worst;
+}
+
 nlohmann::json RunResult::ToJson() const {
   nlohmann::ordered_json all = {{"scenario", scenario},
                                 {"seed", seed},
+                                {"played", played},
                                 {"worth", Worth()},
                                 {"worst_ten_seconds", WorstTenSeconds()},
                                 {"handed_in", handed_in},
@@ -70,11 +96,16 @@
                                 {"client_doubles", client_doubles},
                                 {"events", events}};
   for (const ClassOutcome& c : classes) {
-    all["classes"][c.name] = {
-        {"asked", c.asked}, {"delivered", c.delivered},     {"in_aim", c.in_aim},
-        {"worth", c.worth}, {"worth_asked", c.worth_asked}, {"latency_s", c.latency.ToJson()}};
+    all["classes"][c.name] = {{"asked", c.asked},
+                              {"delivered", c.delivered},
+                              {"in_aim", c.in_aim},
+                              {"worth", c.worth},
+                              {"worth_asked", c.worth_asked},
+                              {"latency_s", c.latency.ToJson()},
+                              {"latency_curve", c.latency.Curve()}};
   }
-  for (const char* key : {"offered", "delivered", "refused", "failed", "calls", "full"})
+  for (const char* key :
+       {"offered", "delivered", "refused", "failed", "calls", "full", "watched_calls", "watched_capacity"})
     all["seconds"][key] = nlohmann::json::array();
   for (const Second& s : seconds) {
     all["seconds"]["offered"].push_back(s.offered);
@@ -83,7 +114,38 @@
     all["seconds"]["failed"].push_back(s.failed);
     all["seconds"]["calls"].push_back(s.calls);
     all["seconds"]["full"].push_back(s.full);
+    all["seconds"]["watched_calls"].push_back(s.watched_calls);
+    all["seconds"]["watched_capacity"].push_back(s.watched_capacity);
+  }
+  all["watched_partner"] = partners.empty() ? 0 : partners[static_cast<std::size_t>(watched)].number;
+  all["partners"] = nlohmann::json::array();
+  for (const PartnerOutcome& p : WorstPartners(20))
+    all["partners"].push_back({{"number", p.number},
+                               {"share", p.share},
+                               {"limit", p.limit},
+                               {"asked", p.asked},
+                               {"delivered", p.delivered},
+                               {"calls", p.calls}});
+  all["processes"] = nlohmann::json::array();
+  for (const auto& samples : processes) {
+    nlohmann::json one = {{"at_s", nlohmann::json::array()},
+                          {"rss_kb", nlohmann::json::array()},
+                          {"descriptors", nlohmann::json::array()},
+                          {"cpu_s", nlohmann::json::array()}};
+    for (const ProcessSample& s : samples) {
+      one["at_s"].push_back(s.at);
+      one["rss_kb"].push_back(s.rss_kb);
+      one["descriptors"].push_back(s.descriptors);
+      one["cpu_s"].push_back(s.cpu);
+    }
+    all["processes"].push_back(nlohmann::ordered_json(one));
   }
+  all["crashes"] = nlohmann::json::array();
+  for (const Crash& c : crashes)
+    all["crashes"].push_back({{"relay", c.relay}, {"at_s", c.at}, {"how", c.how}, {"last_log", c.last_log}});
+  if (answer_time.count() > 0) all["answer_time_s"] = answer_time.ToJson();
+  all["lateness_s"] = {{"p99", lateness_p99}, {"most", lateness_most}};
+  all["void_because"] = void_because;
   all["breaches"] = nlohmann::json::array();
   for (const Breach& b : breaches)
     all["breaches"].push_back({{"kind", NameOf(b.kind)},
--- a/lab/result.h
+++ b/lab/result.h
@@ -23,6 +23,7 @@
   long count() const { return count_; }
   Seconds At(double quantile) const;  // the upper edge of its step; 0: none were added
   nlohmann::json ToJson() const;      // quantiles to 99.99
+  nlohmann::json Curve() const;       // [nines, seconds], as far as there are messages: 2 nines are 99%
 
  private:
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
@@ -34,6 +35,8 @@
 struct Second {
   int offered = 0, delivered = 0, refused = 0, failed = 0;  // by when they were due, or ended
   int calls = 0, full = 0;
+  int watched_calls = 0;        // at the partner that is watched closely
+  double watched_capacity = 0;  // calls that it could do, a second
 };
 
 struct ClassOutcome {
@@ -43,11 +46,39 @@
   LatencyHistogram latency;
 };
 
+struct PartnerOutcome {
+  int number = 0;               // the destination's
+  double share = 0, limit = 0;  // of the load; calls a second
+  long asked = 0, delivered = 0, calls = 0;
+};
+
+// A relay's process, where relays are processes.
+struct ProcessSample {
+  Seconds at = 0;
+  long rss_kb = 0, descriptors = 0;
+  Seconds cpu = 0;  // used so far by its present life
+};
+struct Crash {
+  int relay = -1;
+  Seconds at = 0;
+  std::string how;       // its exit status or signal
+  std::string last_log;  // its last lines
+};
+
 struct RunResult {
   std::string scenario;
   std::uint64_t seed = 0;
   std::vector<ClassOutcome> classes;
   std::vector<Second> seconds;
+  std::vector<PartnerOutcome> partners;
+  int watched = 0;                                    // index of the partner that is watched closely
+  std::string played = "simulated";                   // or "sockets"
+  std::vector<std::vector<ProcessSample>> processes;  // by relay, on sockets
+  std::vector<Crash> crashes;
+  LatencyHistogram answer_time;  // on sockets: from a request's last byte to its 202
+  // How late the laboratory itself was, on sockets. A run whose clock slipped says nothing of the relays.
+  Seconds lateness_p99 = 0, lateness_most = 0;
+  std::string void_because;                     // empty: the run counts
   long handed_in = 0, refused = 0, failed = 0;  // by relays, retries counted
   long calls = 0, attempts = 0, full = 0, errors = 0, timeouts = 0, unconnected = 0, resets = 0, probes = 0;
   long collapses = 0;
@@ -55,8 +86,10 @@
   long events = 0;
   std::vector<Breach> breaches;
 
-  double Worth() const;            // delivered over asked
-  double WorstTenSeconds() const;  // delivered over offered messages
+  double Worth() const;                                               // delivered over asked
+  double WorstTenSeconds() const;                                     // delivered over offered messages
+  std::vector<PartnerOutcome> WorstPartners(std::size_t most) const;  // by the share delivered
+  bool Sound() const { return breaches.empty() && crashes.empty() && void_because.empty(); }
   nlohmann::json ToJson() const;
 };
 
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -250,7 +250,10 @@
   root.Each("relay_faults", [&](Reader& r) {
     RelayFault f;
     r.Word<RelayFault::Kind>("kind", f.kind,
-                             {{"kill", RelayFault::Kind::kKill}, {"stop", RelayFault::Kind::kStop}});
+                             {{"kill", RelayFault::Kind::kKill},
+                              {"stop", RelayFault::Kind::kStop},
+                              {"freeze", RelayFault::Kind::kFreeze},
+                              {"reload", RelayFault::Kind::kReload}});
     r.Whole("relay", f.relay, 0, s.relays - 1);
     r.Number("at_s", f.at, 0, kDay);
     r.Number("down_s", f.down, 0, kDay);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -40,7 +40,12 @@
 };
 
 struct RelayFault {
-  enum class Kind { kKill, kStop } kind{};  // SIGKILL; SIGTERM
+  enum class Kind {
+    kKill,    // SIGKILL, and a new start after `down`
+    kStop,    // SIGTERM, and the same
+    kFreeze,  // SIGSTOP, and SIGCONT after `down`
+    kReload   // a new file of the configuration, and SIGHUP
+  } kind{};
   int relay = 0;
   Seconds at = 0, down = 0;
 };
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -11,9 +11,9 @@
 
 constexpr Seconds kStopTime = 3.45;   // a relay ends so long after SIGTERM
 constexpr Seconds kIdleTime = 14;     // a connection is kept so long between calls
+constexpr Seconds kAnswerTime = 0.4;  // that a client gives a relay
 constexpr Seconds kFullAdvice = 0.5;  // what a relay without room tells its clients
 constexpr Seconds kAfterReady = 1.5;  // after a restart what was overdue may be answered until then
-constexpr Seconds kDrainLasts = 5;    // from 'draining' until the machine has gone
 constexpr Seconds kRunsOn = 3;        // after the last message's time is up
 
 bool NeverRan(Outcome o) {
@@ -41,6 +41,7 @@
   int number = 0;
   std::uint32_t life = 0;
   bool up = false, takes_on = false;
+  Seconds frozen_until = 0;
   std::unique_ptr<Courier> module;
   std::deque<opalroute::Event> line;
   bool pumping = false, turn_armed = false;
@@ -65,14 +66,9 @@
             rules.overload_for = scenario.settings.overload_for;
             return rules;
           }(),
-          scenario.settings.classes) {
-  result_.scenario = s_.name;
-  result_.seed = seed;
-  for (const ClassPlan& c : s_.classes) {
-    result_.classes.emplace_back();
-    result_.classes.back().name = c.name;
-  }
-  result_.seconds.resize(static_cast<std::size_t>(std::ceil(s_.lasts)));
+          scenario.settings.classes),
+      tally_(world_, seed),
+      result_(tally_.result()) {
   listings_.assign(world_.endpoint_count(), Listing::kInService);
   for (EndpointId id = 1; id <= world_.endpoint_count(); ++id)
     auditor_.Listed(id, world_.endpoint(id).destination, world_.endpoint(id).lane);
@@ -105,6 +101,7 @@
     if (now_ / 1'000'000 != told / 1'000'000) {
       told = now_;
       auditor_.Until(now());
+      tally_.Sample(now());
       if (progress) progress(now());
     }
   }
@@ -114,7 +111,17 @@
   return std::move(result_);
 }
 
+// What a relay does: a frozen one does it as soon as it may.
+bool Simulation::IsRelays(Kind kind) {
+  return kind == Kind::kTurn || kind == Kind::kWake || kind == Kind::kNews || kind == Kind::kBack ||
+         kind == Kind::kUntil;
+}
+
 void Simulation::Play(const Payload& event) {
+  if (IsRelays(event.kind)) {
+    const Seconds until = relays_[static_cast<std::size_t>(event.relay)]->frozen_until;
+    if (until > now()) return At(until, event);
+  }
   switch (event.kind) {
     case Kind::kArrival: {
       const std::uint64_t client = event.a;
@@ -123,10 +130,7 @@
         clients_.push_back({*next});
         At(next->due, {Kind::kArrival, 0, clients_.size() - 1});
       }
-      ClassOutcome& c = result_.classes[static_cast<std::size_t>(arrival.message_class)];
-      ++c.asked;
-      c.worth_asked += s_.classes[static_cast<std::size_t>(arrival.message_class)].rules.worth;
-      ++SecondAt(arrival.due).offered;
+      tally_.Offered(arrival);
       return HandIn(client);
     }
     case Kind::kHandIn:
@@ -158,12 +162,6 @@
   Post(relay, TurnEnd{});
 }
 
-Second& Simulation::SecondAt(Seconds when) {
-  const auto index = static_cast<std::size_t>(std::max(0.0, when));
-  if (index >= result_.seconds.size()) result_.seconds.resize(index + 1);
-  return result_.seconds[index];
-}
-
 ListEntry Simulation::EntryOf(EndpointId id, Listing listing) const {
   const PartnerEndpoint& e = world_.endpoint(id);
   return {id, e.zone, e.kind, e.destination, listing, e.rating};
@@ -247,8 +245,7 @@
 void Simulation::StartCall(Relay& relay, EndpointId endpoint,
                            std::vector<std::pair<std::uint64_t, int>> members, bool probe) {
   const std::uint64_t number = ++last_call_;
-  ++result_.calls;
-  ++SecondAt(now()).calls;
+  tally_.Call(now(), world_.endpoint(endpoint).destination);
   Call& call = calls_[number];
   call.relay = relay.number;
   call.life = relay.life;
@@ -283,7 +280,7 @@
   if (call.probe) call.verdict.wait = 0;  // what answers a probe says 503 at most
   if (cold) auditor_.ReachedCold(now(), call.relay, e.lane, call.verdict.fell_over);
   result_.collapses += call.verdict.fell_over ? 1 : 0;
-  if (call.verdict.fate == LaneModel::Fate::kFull) ++SecondAt(now()).full;
+  if (call.verdict.fate == LaneModel::Fate::kFull) tally_.Full(now());
   if (call.verdict.ran)
     for (const auto& [id, attempt] : call.members) auditor_.Ran(now(), id);
   // One that hangs never comes back: its relay gives it up.
@@ -398,9 +395,10 @@
     if (next.up && next.takes_on) relay = &next;
   }
   ++result_.handed_in;
+  if (relay != nullptr && relay->frozen_until > now())  // no answer: its client comes elsewhere
+    return At(now() + kAnswerTime, {Kind::kHandIn, 0, client});
   if (relay == nullptr || static_cast<int>(relay->held.size()) >= s_.settings.room) {
-    ++result_.refused;
-    ++SecondAt(now()).refused;
+    tally_.Refused(now());
     return ComeAgain(client, kFullAdvice);
   }
   const std::uint64_t id = ++last_id_;
@@ -426,8 +424,7 @@
   Handing& h = it->second;
   h.over = true;
   relays_[static_cast<std::size_t>(h.relay)]->held.erase(id);
-  ++(refused ? result_.refused : result_.failed);
-  ++(refused ? SecondAt(now()).refused : SecondAt(now()).failed);
+  refused ? tally_.Refused(now()) : tally_.Failed(now());
   const std::uint64_t client = h.client;
   ForgetIfDone(id);
   if (refused) ComeAgain(client, advice);
@@ -441,19 +438,7 @@
 
 void Simulation::Deliver(Client& client) {
   if (std::exchange(client.delivered, true)) return;
-  const Arrival& arrival = client.arrival;
-  ClassOutcome& c = result_.classes[static_cast<std::size_t>(arrival.message_class)];
-  const MessageClass& rules = s_.classes[static_cast<std::size_t>(arrival.message_class)].rules;
-  const Seconds took = now() - arrival.due;
-  ++c.delivered;
-  c.latency.Add(took);
-  ++SecondAt(arrival.due).delivered;
-  if (took <= rules.aim) {
-    ++c.in_aim;
-    c.worth += rules.worth;
-  } else if (took < rules.deadline) {
-    c.worth += rules.worth * (1 - (1 - rules.late_share) * (took - rules.aim) / (rules.deadline - rules.aim));
-  }
+  tally_.Delivered(client.arrival, now());
 }
 
 // ---- the list and the relays' faults
@@ -470,7 +455,7 @@
     At(now() + Draw(s_.list_late), {Kind::kNews, relay->number, changes_.size() - 1, 0, relay->life});
 }
 
-void Simulation::TellNews(Relay& relay, const ListChange& change) {
+void Simulation::TellNews(Relay& relay, const World::ListChange& change) {
   if (change.listing != Listing::kInService) auditor_.ToldDrain(now(), relay.number, change.endpoint);
   ListUpdate update;
   update.scope = ListScope::kChanges;
@@ -479,27 +464,24 @@
 }
 
 void Simulation::ChangeList(const PoolChange& change) {
-  const std::size_t count = listings_.size();
-  for (EndpointId id = 1; id <= count; ++id) {
-    if (listings_[id - 1] != Listing::kInService || Draw({0, 1}) >= change.share) continue;
-    if (change.kind == PoolChange::Kind::kReplace) {
-      Publish(world_.Replace(id), Listing::kInService);
-    } else {
-      const WorldPartner& partner =
-          world_.partners()[static_cast<std::size_t>(world_.endpoint(id).destination - 1)];
-      const auto left =
-          std::count_if(partner.endpoints.begin(), partner.endpoints.end(),
-                        [this](EndpointId e) { return listings_[e - 1] == Listing::kInService; });
-      if (left < 2) continue;  // a partner that drains its last endpoint has left
-    }
-    Publish(id, Listing::kDraining);
-    At(now() + kDrainLasts, {Kind::kGone, 0, id});
+  const auto changes = world_.Change(
+      change, [this](EndpointId id) { return listings_[id - 1]; },
+      [this] {
+        return Draw({0, 1});
+      });
+  for (const World::ListChange& c : changes) {
+    Publish(c.endpoint, c.listing);
+    if (c.listing == Listing::kDraining) At(now() + World::kDrainLasts, {Kind::kGone, 0, c.endpoint});
   }
 }
 
 void Simulation::Strike(const RelayFault& fault, bool forced) {
   Relay& relay = *relays_[static_cast<std::size_t>(fault.relay)];
-  if (!relay.up) return;
+  if (!relay.up || fault.kind == RelayFault::Kind::kReload) return;  // the module has no file to read anew
+  if (fault.kind == RelayFault::Kind::kFreeze) {
+    relay.frozen_until = now() + fault.down;
+    return auditor_.Excuse(relay.number, relay.frozen_until + kAfterReady);
+  }
   if (fault.kind == RelayFault::Kind::kStop && !forced) {
     relay.takes_on = false;
     Post(relay, Stopping{kStopTime});
@@ -507,6 +489,7 @@
     return At(now() + kStopTime, {Kind::kFault, relay.number, index, 1});
   }
   relay.up = relay.takes_on = false;
+  relay.frozen_until = 0;
   ++relay.life;
   relay.module.reset();
   relay.line.clear();
--- a/lab/simulation.h
+++ b/lab/simulation.h
@@ -11,7 +11,7 @@
 
 #include "lab/auditor.h"
 #include "lab/event_queue.h"
-#include "lab/result.h"
+#include "lab/tally.h"
 #include "lab/traffic.h"
 #include "lab/world.h"
 #include "opalroute/rules.h"
@@ -77,14 +77,11 @@
     LaneModel::Verdict verdict;
   };
   struct Relay;
-  struct ListChange {
-    EndpointId endpoint = 0;
-    Listing listing{};
-  };
 
   static Micros ToMicros(Seconds seconds) { return static_cast<Micros>(seconds * 1e6 + 0.5); }
   Seconds now() const { return static_cast<double>(now_) * 1e-6; }
   void At(Seconds when, Payload payload) { queue_.Push(std::max(now_, ToMicros(when)), payload); }
+  static bool IsRelays(Kind kind);
   void Play(const Payload& event);
 
   void StartRelay(Relay& relay);
@@ -104,10 +101,9 @@
   void ForgetIfDone(std::uint64_t id);
   void ChangeList(const PoolChange& change);
   void Publish(EndpointId endpoint, Listing listing);
-  void TellNews(Relay& relay, const ListChange& change);
+  void TellNews(Relay& relay, const World::ListChange& change);
   void Strike(const RelayFault& fault, bool forced);
   void BringUp(Relay& relay);
-  Second& SecondAt(Seconds when);
   ListEntry EntryOf(EndpointId endpoint, Listing listing) const;
   double Draw(const Range& range) {
     return range.least + (range.most - range.least) * (static_cast<double>(random_()) * 0x1p-32);
@@ -118,14 +114,15 @@
   World world_;
   Traffic traffic_;
   Auditor auditor_;
-  RunResult result_;
+  Tally tally_;
+  RunResult& result_;
   HeapQueue<Payload> queue_;
   Micros now_ = 0;
   std::vector<std::unique_ptr<Relay>> relays_;
   std::vector<Client> clients_;
   std::unordered_map<std::uint64_t, Handing> handings_;  // by id, until over with nothing out
   std::unordered_map<std::uint64_t, Call> calls_;
-  std::vector<ListChange> changes_;
+  std::vector<World::ListChange> changes_;
   std::vector<Listing> listings_;  // by endpoint, as the list has them
   std::uint64_t last_id_ = 0, last_call_ = 0, next_relay_ = 0;
 };
--- /dev/null
+++ b/lab/sockets/endpoints.cpp
@@ -0,0 +1,290 @@
+#include "lab/sockets/endpoints.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "lab/sockets/loopback.h"
+#include "net/address.h"
+#include "net/connection.h"
+#include "net/http.h"
+
+namespace opalroute::lab {
+
+namespace {
+
+const net::HttpBounds kBounds{16 * 1024, 64, 1 << 20};
+
+void Reset(int fd) {
+  const linger at_once{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  close(fd);
+}
+
+// A message's number: ids are "m" and a number. 0: it is none of ours.
+std::uint64_t NumberOf(const std::string& id) {
+  return id.size() > 1 && id[0] == 'm' ? std::strtoull(id.c_str() + 1, nullptr, 10) : 0;
+}
+
+}  // namespace
+
+// One connection of a relay; it brings one call after another.
+class Endpoints::Session : public net::Connection::Owner {
+ public:
+  Session(Endpoints& all, EndpointId endpoint, int relay)
+      : all_(all), endpoint_(endpoint), relay_(relay), parser_(net::HttpParser::Kind::kRequest, kBounds) {}
+  ~Session() override { all_.loop_.Cancel(timer_); }
+
+  bool Open(int fd) {
+    connection_ = net::Connection::Adopt(all_.loop_, fd, *this, 2 << 20, 1 << 20);
+    return connection_ != nullptr;
+  }
+  EndpointId endpoint() const { return endpoint_; }
+  void Shut() {
+    all_.loop_.Cancel(timer_);
+    connection_->Close();
+  }
+
+  void OnData(net::Connection& connection) override {
+    net::RingBuffer& in = connection.in();
+    while (phase_ == Phase::kRests && !in.empty()) {
+      in.Consume(parser_.Take(in.Front()));
+      if (parser_.failed()) return End(Outcome::kReset);
+      if (!parser_.done()) continue;
+      const net::HttpMessage request = std::move(parser_.message());
+      parser_.Reset();
+      Begin(request);
+    }
+    if (connection.peer_ended()) End(Outcome::kTimeout);
+  }
+  void OnEnd(net::Connection&, net::Connection::End) override { End(Outcome::kTimeout); }
+
+  // It is over: its relay has given up, or its machine goes. A call on its way still arrives.
+  void End(Outcome outcome) {
+    const LaneModel& lane = Lane();
+    if (phase_ != Phase::kRests && lane.OutAt(all_.now())) all_.auditor_.SawOutage(relay_, LaneNumber());
+    for (const Member& member : std::exchange(awaited_, {}))
+      if (member.attempt != Ledger::kVoid) all_.ledger_.Over(all_.now(), member.id, member.attempt, outcome);
+    if (phase_ == Phase::kComing && !std::exchange(left_, true)) return connection_->Close();
+    if (phase_ != Phase::kComing) all_.Drop(*this);
+  }
+
+ private:
+  enum class Phase { kRests, kComing, kWorks };
+  struct Member {
+    std::uint64_t id = 0;
+    std::string name;
+    int attempt = Ledger::kVoid;
+  };
+
+  std::uint32_t LaneNumber() const { return all_.world_.endpoint(endpoint_).lane; }
+  LaneModel& Lane() const { return all_.world_.lane(LaneNumber()); }
+
+  void Begin(const net::HttpMessage& request) {
+    probe_ = request.method == "GET" && (request.target == "/health/live" || request.target == "/stats");
+    batch_ = request.target == "/hook/batch";
+    if (!probe_ && (request.method != "POST" || (request.target != "/hook" && !batch_)))
+      return Write(404, 0, {});
+    members_.clear();
+    if (!probe_ && !ReadMembers(request)) return Write(400, 0, {});
+    const Seconds now = all_.now();
+    for (Member& member : members_) member.attempt = all_.ledger_.Arrived(now, relay_, member.id, endpoint_);
+    awaited_ = members_;
+    all_.tally_.Call(now, all_.world_.endpoint(endpoint_).destination);
+    if (probe_) ++all_.tally_.result().probes;
+    phase_ = Phase::kComing;
+    const Seconds way = all_.WayOf(endpoint_, relay_);
+    const Seconds first = std::exchange(fresh_, false) ? 2 * way + all_.world_.scenario().handshake : 0;
+    After(way + first, [this] { Take(); });
+  }
+
+  bool ReadMembers(const net::HttpMessage& request) {
+    const auto add = [this](const std::string& name) {
+      members_.push_back({NumberOf(name), name, Ledger::kVoid});
+      return members_.back().id > 0;
+    };
+    if (!batch_) {
+      const std::string* name = request.Header("X-Txn");
+      return name != nullptr && add(*name);
+    }
+    const auto rows = nlohmann::json::parse(request.body, nullptr, false);
+    if (!rows.is_array() || rows.empty()) return false;
+    return std::all_of(rows.begin(), rows.end(), [&](const nlohmann::json& row) {
+      return row.is_object() && row.contains("id") && row["id"].is_string() && add(row["id"]);
+    });
+  }
+
+  void After(Seconds delay, std::function<void()> then) {
+    timer_ = all_.loop_.At(all_.loop_.Now() + delay, [this, then = std::move(then)] {
+      timer_ = 0;
+      then();
+    });
+  }
+
+  void Take() {
+    phase_ = Phase::kWorks;
+    const Seconds now = all_.now();
+    const bool all_void = !probe_ && std::all_of(members_.begin(), members_.end(), [](const Member& member) {
+      return member.attempt == Ledger::kVoid;
+    });
+    if (all_void) return left_ ? all_.Drop(*this) : Answer({});
+    LaneModel& lane = Lane();
+    const bool cold = lane.ColdAt(now) && !lane.collapsed();
+    const LaneModel::Verdict verdict = lane.Take(now);
+    if (cold) all_.auditor_.ReachedCold(now, relay_, LaneNumber(), verdict.fell_over);
+    if (verdict.fell_over) ++all_.tally_.result().collapses;
+    if (verdict.fate == LaneModel::Fate::kFull) all_.tally_.Full(now);
+    if (verdict.ran)
+      for (const Member& member : members_)
+        if (member.attempt != Ledger::kVoid) all_.ledger_.Ran(now, member.id);
+    if (left_) return all_.Drop(*this);
+    if (verdict.fate == LaneModel::Fate::kHangs) return;  // until its relay gives up
+    After(verdict.takes + all_.WayOf(endpoint_, relay_), [this, verdict] { Answer(verdict); });
+  }
+
+  void Answer(const LaneModel::Verdict& verdict) {
+    const Seconds now = all_.now();
+    if (verdict.fate != LaneModel::Fate::kServed && Lane().OutAt(now))
+      all_.auditor_.SawOutage(relay_, LaneNumber());
+    if (verdict.fate == LaneModel::Fate::kReset) return End(Outcome::kReset);
+    const bool full = verdict.fate == LaneModel::Fate::kFull;
+    const bool error = verdict.fate == LaneModel::Fate::kError;
+    const Seconds wait = full && !probe_ ? verdict.wait : 0;
+    for (const Member& member : std::exchange(awaited_, {}))
+      if (member.attempt != Ledger::kVoid)
+        all_.ledger_.Over(now, member.id, member.attempt,
+                          full    ? Outcome::kFull
+                          : error ? Outcome::kError
+                                  : Outcome::kServed);
+    if (wait > 0) all_.auditor_.ToldWait(now, relay_, LaneNumber(), wait);
+    const bool one_void = std::any_of(members_.begin(), members_.end(),
+                                      [](const Member& member) { return member.attempt == Ledger::kVoid; });
+    if (!batch_) return Write(one_void ? 410 : full ? (wait > 0 ? 429 : 503) : error ? 500 : 200, wait, {});
+    if ((full || error) && !one_void) return Write(full ? (wait > 0 ? 429 : 503) : 500, wait, {});
+    nlohmann::json rows = nlohmann::json::array();
+    for (const Member& member : members_)
+      rows.push_back({{"id", member.name},
+                      {"state", member.attempt == Ledger::kVoid ? "void"
+                                : full                          ? "busy"
+                                : error                         ? "failed"
+                                                                : "done"}});
+    Write(200, wait, rows.dump());
+  }
+
+  void Write(int status, Seconds wait, const std::string& body) {
+    net::Headers headers;
+    if (wait > 0)
+      headers.emplace_back("X-RateLimit-Wait-Ms", std::to_string(static_cast<long>(std::ceil(wait * 1000))));
+    phase_ = Phase::kRests;
+    connection_->Write(net::WriteAnswer(status, headers, body));
+    OnData(*connection_);
+  }
+
+  Endpoints& all_;
+  const EndpointId endpoint_;
+  const int relay_;
+  std::unique_ptr<net::Connection> connection_;
+  net::HttpParser parser_;
+  Phase phase_ = Phase::kRests;
+  bool fresh_ = true, left_ = false, probe_ = false, batch_ = false;
+  std::vector<Member> members_, awaited_;
+  net::EventLoop::TimerId timer_ = 0;
+};
+
+Endpoints::Endpoints(net::EventLoop& loop, World& world, Auditor& auditor, Ledger& ledger, Tally& tally,
+                     std::uint64_t seed)
+    : loop_(loop), world_(world), auditor_(auditor), ledger_(ledger), tally_(tally), start_(loop.Now()) {
+  pcg32 random(seed, 3);
+  const Scenario& s = world.scenario();
+  for (int relay = 0; relay < s.relays; ++relay) {
+    one_way_.emplace_back();
+    for (std::size_t zone = 0; zone < s.zones.size(); ++zone)
+      one_way_.back().push_back(s.one_way.least + (s.one_way.most - s.one_way.least) *
+                                                      (static_cast<double>(random()) * 0x1p-32));
+    listeners_.push_back(std::make_unique<net::Listener>(loop, ListenOnLoopback(),
+                                                         [this, relay](int fd) { Accept(fd, relay); }));
+  }
+  for (EndpointId id = 1; id <= world.endpoint_count(); ++id) {
+    const auto& outages = world.lane(world.endpoint(id).lane).outages();
+    if (std::none_of(outages.begin(), outages.end(),
+                     [](const LaneOutage& outage) { return outage.kind == TroubleKind::kRefuse; }))
+      continue;
+    for (int relay = 0; relay < s.relays; ++relay) {
+      Door& door = doors_[{id, relay}];
+      door.endpoint = id;
+      door.relay = relay;
+      door.address = LoopbackOf(id);
+      OpenDoor(door);
+      door.address = door.listener->address();  // the port that it keeps
+    }
+  }
+}
+
+Endpoints::~Endpoints() {
+  for (const auto& [key, session] : sessions_) session->Shut();
+}
+
+void Endpoints::OpenDoor(Door& door) {
+  const int relay = door.relay;
+  door.listener =
+      std::make_unique<net::Listener>(loop_, door.address, [this, relay](int fd) { Accept(fd, relay); });
+}
+
+void Endpoints::Begin(net::Seconds start) {
+  start_ = start;
+  for (auto& [key, value] : doors_) {
+    Door& door = value;
+    for (const LaneOutage& outage : world_.lane(world_.endpoint(door.endpoint).lane).outages()) {
+      if (outage.kind != TroubleKind::kRefuse) continue;
+      loop_.At(start + outage.from, [&door] { door.listener.reset(); });
+      loop_.At(start + outage.to, [this, &door] { OpenDoor(door); });
+    }
+  }
+}
+
+std::string Endpoints::AddressOf(EndpointId endpoint, int relay) const {
+  const auto door = doors_.find({endpoint, relay});
+  if (door != doors_.end()) return net::FormatAddress(door->second.address);
+  sockaddr_in address = LoopbackOf(endpoint);
+  address.sin_port = listeners_[static_cast<std::size_t>(relay)]->address().sin_port;
+  return net::FormatAddress(address);
+}
+
+Seconds Endpoints::WayOf(EndpointId endpoint, int relay) const {
+  return one_way_[static_cast<std::size_t>(relay)][static_cast<std::size_t>(world_.endpoint(endpoint).zone)];
+}
+
+void Endpoints::Accept(int fd, int relay) {
+  const EndpointId endpoint = EndpointAt(net::BoundAddress(fd));
+  const bool there = endpoint >= 1 && endpoint <= world_.endpoint_count() &&
+                     (endpoint >= gone_.size() || !gone_[endpoint]) &&
+                     !world_.lane(world_.endpoint(endpoint).lane).collapsed();
+  if (!there) return Reset(fd);
+  auto session = std::make_unique<Session>(*this, endpoint, relay);
+  Session* const key = session.get();
+  if (session->Open(fd)) sessions_.emplace(key, std::move(session));
+}
+
+void Endpoints::Remove(EndpointId endpoint) {
+  if (gone_.size() <= endpoint) gone_.resize(endpoint + 1);
+  gone_[endpoint] = true;
+  std::vector<Session*> ending;
+  for (const auto& [key, session] : sessions_)
+    if (session->endpoint() == endpoint) ending.push_back(key);
+  for (Session* session : ending) session->End(Outcome::kReset);
+}
+
+void Endpoints::Drop(Session& session) {
+  const auto it = sessions_.find(&session);
+  if (it == sessions_.end()) return;
+  session.Shut();
+  loop_.Retire(std::move(it->second));
+  sessions_.erase(it);
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/endpoints.h
@@ -0,0 +1,61 @@
+// The partners' endpoints on sockets. Each has a loopback address of its own and all share one listener a
+// relay, so that 20,000 of them cost one descriptor, and it is known which relay calls. The models decide.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "lab/auditor.h"
+#include "lab/sockets/ledger.h"
+#include "lab/world.h"
+#include "net/listener.h"
+
+namespace opalroute::lab {
+
+class Endpoints {
+ public:
+  // Throws std::system_error if the system lets nobody listen on the loopback device as a whole.
+  Endpoints(net::EventLoop& loop, World& world, Auditor& auditor, Ledger& ledger, Tally& tally,
+            std::uint64_t seed);
+  ~Endpoints();
+
+  // The run's times count from here. Endpoints that refuse connections at times begin to do so.
+  void Begin(net::Seconds start);
+  std::string AddressOf(EndpointId endpoint, int relay) const;
+  // Its machine is there no more: its connections end, and new ones are reset.
+  void Remove(EndpointId endpoint);
+  std::size_t connections() const { return sessions_.size(); }
+
+ private:
+  class Session;
+  // An endpoint that refuses connections at times has a listener of its own, which is closed meanwhile.
+  struct Door {
+    EndpointId endpoint = 0;
+    int relay = 0;
+    sockaddr_in address{};
+    std::unique_ptr<net::Listener> listener;
+  };
+  Seconds now() const { return std::max(0.0, loop_.Now() - start_); }
+  Seconds WayOf(EndpointId endpoint, int relay) const;
+  void Accept(int fd, int relay);
+  void OpenDoor(Door& door);
+  void Drop(Session& session);
+
+  net::EventLoop& loop_;
+  World& world_;
+  Auditor& auditor_;
+  Ledger& ledger_;
+  Tally& tally_;
+  net::Seconds start_;
+  std::vector<std::vector<Seconds>> one_way_;  // by relay and zone
+  std::vector<std::unique_ptr<net::Listener>> listeners_;
+  std::map<std::pair<EndpointId, int>, Door> doors_;
+  std::vector<bool> gone_;  // by endpoint
+  std::map<Session*, std::unique_ptr<Session>> sessions_;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/front.cpp
@@ -0,0 +1,179 @@
+#include "lab/sockets/front.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <utility>
+
+namespace opalroute::lab {
+
+namespace {
+
+constexpr std::size_t kBodyBytes = 200;
+constexpr Seconds kLooksAgain = 1;     // a relay that refused a connection gets no other for so long
+constexpr Seconds kNobodyThere = 0.1;  // the front asks again after this while it knows no relay
+
+net::ClientBounds Bounds() {
+  net::ClientBounds bounds;
+  bounds.http = {16 * 1024, 64, 64 * 1024};
+  bounds.request_bytes = 64 * 1024;
+  bounds.connections = 4096;
+  bounds.connect_time = Front::kAnswerTime;
+  bounds.idle_time = 5;  // less than a relay keeps a client's connection
+  bounds.answer_time = bounds.rest_time = Front::kAnswerTime;
+  return bounds;
+}
+
+}  // namespace
+
+class Front::Call : public net::HttpClient::Call {
+ public:
+  Call(Front& front, std::size_t client, int relay, std::uint64_t id, std::string request)
+      : front_(front), client_(client), relay_(relay), id_(id), request_(std::move(request)) {
+    timer_ = front.loop_.At(front.loop_.Now() + kAnswerTime, [this] {
+      timer_ = 0;
+      front_.client_.Abandon(*this);
+      ComeElsewhere();
+    });
+  }
+  ~Call() override { Settle(); }
+  void Settle() { front_.loop_.Cancel(timer_); }
+
+ private:
+  std::string OnReady() override {
+    sent_ = front_.loop_.Now();
+    return request_;
+  }
+  void OnAnswer(net::HttpMessage& answer) override {
+    const Seconds now = front_.now();
+    if (answer.status == 202 || answer.status == 200) {
+      front_.answer_times_.Add(front_.loop_.Now() - sent_);
+      front_.ledger_.TakenOn(now, id_);
+    } else if (answer.status == 429 || answer.status == 503) {
+      const std::string* wait = answer.Header("Retry-After");
+      front_.ledger_.Refused(now, id_);
+      front_.ComeAgain(client_, wait == nullptr ? 0 : std::max(0.0, std::strtod(wait->c_str(), nullptr)));
+    } else {
+      front_.ledger_.Failed(now, id_);
+    }
+    front_.Drop(*this);
+  }
+  void OnBroken(net::HttpClient::Broken how, int) override {
+    if (how == net::HttpClient::Broken::kNotConnected) front_.Avoid(relay_);
+    ComeElsewhere();
+  }
+  // No answer: what this relay has done or still does under this id counts no more.
+  void ComeElsewhere() {
+    Front& front = front_;
+    front.ledger_.Withdrawn(front.now(), id_);
+    front.Later(client_, 0, "again");
+    front.Drop(*this);
+  }
+
+  Front& front_;
+  const std::size_t client_;
+  const int relay_;
+  const std::uint64_t id_;
+  const std::string request_;
+  net::Seconds sent_ = 0;
+  net::EventLoop::TimerId timer_ = 0;
+};
+
+Front::Front(net::EventLoop& loop, const Scenario& scenario, Traffic& traffic, Ledger& ledger,
+             std::uint64_t seed)
+    : loop_(loop),
+      s_(scenario),
+      traffic_(traffic),
+      ledger_(ledger),
+      random_(seed, 6),
+      client_(loop, Bounds()),
+      relays_(static_cast<std::size_t>(scenario.relays)) {
+  ledger.on_handed_back = [this](std::size_t client, Seconds advice) { ComeAgain(client, advice); };
+}
+
+Front::~Front() {
+  ledger_.on_handed_back = nullptr;
+  for (const auto& [key, call] : calls_) client_.Abandon(*call);
+}
+
+void Front::SetRelay(int relay, const sockaddr_in& address) {
+  relays_[static_cast<std::size_t>(relay)].address = address;
+}
+void Front::SetAlive(int relay, bool alive) { relays_[static_cast<std::size_t>(relay)].alive = alive; }
+
+void Front::Avoid(int relay) {
+  if (!std::exchange(relays_[static_cast<std::size_t>(relay)].alive, false)) return;
+  loop_.At(loop_.Now() + kLooksAgain, [this, relay] { SetAlive(relay, true); });
+}
+
+void Front::Begin(net::Seconds start) {
+  start_ = start;
+  Arm();
+}
+
+void Front::Arm() {
+  const auto next = traffic_.Next();
+  if (!next) {
+    done_ = true;
+    return;
+  }
+  loop_.At(start_ + next->due, [this, arrival = *next] {
+    const std::size_t client = ledger_.Ask(arrival);
+    tries_.resize(client + 1, 0);
+    HandIn(client, nullptr);
+    Arm();
+  });
+}
+
+void Front::HandIn(std::size_t client, const char* resent) {
+  const Seconds remaining = ledger_.DeadlineOf(client) - now();
+  if (remaining < 0.001 || ledger_.delivered(client)) return;
+  std::size_t relay = relays_.size();
+  for (std::size_t tries = 0; tries < relays_.size() && relay == relays_.size(); ++tries) {
+    const std::size_t next = next_relay_++ % relays_.size();
+    if (relays_[next].alive) relay = next;
+  }
+  if (relay == relays_.size()) return Later(client, kNobodyThere, resent);
+  const Arrival& arrival = ledger_.arrival(client);
+  const ClassPlan& plan = s_.classes[static_cast<std::size_t>(arrival.message_class)];
+  const std::uint64_t id = ledger_.HandIn(now(), static_cast<int>(relay), client);
+  net::Headers headers = {{"Host", "lab"},
+                          {"X-Txn", "m" + std::to_string(id)},
+                          {"X-Lane", plan.name},
+                          {"X-Org", "lab"},
+                          {"X-Remaining-Ms", std::to_string(static_cast<long>(remaining * 1000))},
+                          {"X-Addressing", "dest=" + std::to_string(arrival.partner + 1)}};
+  if (plan.rules.effect == Effect::kKeyed)
+    headers.emplace_back("Idempotency-Key", "k" + std::to_string(client));
+  if (resent != nullptr) headers.emplace_back("X-Resent", resent);
+  auto call =
+      std::make_unique<Call>(*this, client, static_cast<int>(relay), id,
+                             net::WriteRequest("POST", "/api", headers, std::string(kBodyBytes, 'x')));
+  Call* const key = call.get();
+  calls_.emplace(key, std::move(call));
+  client_.Start({relays_[relay].address, 0}, *key);
+}
+
+void Front::ComeAgain(std::size_t client, Seconds advice) {
+  if (tries_[client]++ >= s_.clients.retries) return;
+  const double drawn = static_cast<double>(random_()) * 0x1p-32;
+  const Seconds own = s_.clients.wait.least + (s_.clients.wait.most - s_.clients.wait.least) * drawn;
+  Later(client, advice > 0 ? std::min(advice, s_.settings.longest_wait) : own, "1");
+}
+
+void Front::Later(std::size_t client, Seconds wait, const char* resent) {
+  ++coming_;
+  loop_.At(loop_.Now() + wait, [this, client, resent] {
+    --coming_;
+    HandIn(client, resent);
+  });
+}
+
+void Front::Drop(Call& call) {
+  const auto it = calls_.find(&call);
+  it->second->Settle();  // its time may be up in this very turn of the loop
+  loop_.Retire(std::move(it->second));
+  calls_.erase(it);
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/front.h
@@ -0,0 +1,63 @@
+// The clients: an open loop. What is due goes out when it is due, to the next relay that the front believes
+// alive, whatever became of those before; what is refused comes again as its client chooses.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <vector>
+
+#include "lab/sockets/ledger.h"
+#include "lab/traffic.h"
+#include "net/http_client.h"
+
+namespace opalroute::lab {
+
+class Front {
+ public:
+  // A client gives a relay so long for its answer (the platform's protocol, 'Clients to relays').
+  static constexpr Seconds kAnswerTime = 0.4;
+
+  Front(net::EventLoop& loop, const Scenario& scenario, Traffic& traffic, Ledger& ledger, std::uint64_t seed);
+  ~Front();
+
+  void SetRelay(int relay, const sockaddr_in& address);
+  void SetAlive(int relay, bool alive);  // as the front believes
+  void Begin(net::Seconds start);
+  bool done() const { return done_ && calls_.empty() && coming_ == 0; }
+  const LatencyHistogram& answer_times() const { return answer_times_; }  // last byte sent to 202 read
+
+ private:
+  class Call;
+  Seconds now() const { return loop_.Now() - start_; }
+  void Avoid(int relay);  // nobody listens there
+  void Arm();
+  void HandIn(std::size_t client, const char* resent);
+  void ComeAgain(std::size_t client, Seconds advice);
+  void Later(std::size_t client, Seconds wait, const char* resent);
+  void Drop(Call& call);
+
+  net::EventLoop& loop_;
+  const Scenario& s_;
+  Traffic& traffic_;
+  Ledger& ledger_;
+  pcg32 random_;
+  net::HttpClient client_;
+  net::Seconds start_ = 0;
+  struct Relay {
+    sockaddr_in address{};
+    bool alive = false;
+  };
+  std::vector<Relay> relays_;
+  std::size_t next_relay_ = 0;
+  std::vector<int> tries_;  // by client: after refusals
+  std::map<Call*, std::unique_ptr<Call>> calls_;
+  LatencyHistogram answer_times_;
+  int coming_ = 0;  // retries that wait for their time
+  bool done_ = false;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/ledger.cpp
@@ -0,0 +1,109 @@
+#include "lab/sockets/ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace opalroute::lab {
+
+namespace {
+
+// A copy that left before its relay had read the end is no breach: so long after the end it may arrive.
+constexpr Seconds kOnTheWay = 0.25;
+
+bool NeverRan(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
+}
+
+}  // namespace
+
+std::size_t Ledger::Ask(const Arrival& arrival) {
+  clients_.push_back({arrival, false});
+  tally_.Offered(arrival);
+  return clients_.size() - 1;
+}
+
+Seconds Ledger::DeadlineOf(std::size_t client) const {
+  const Arrival& arrival = clients_[client].arrival;
+  return arrival.due + s_.classes[static_cast<std::size_t>(arrival.message_class)].rules.deadline;
+}
+
+std::uint64_t Ledger::HandIn(Seconds now, int relay, std::size_t client) {
+  ++tally_.result().handed_in;
+  ++open_;
+  handings_.emplace_back();
+  handings_.back().client = client;
+  const std::uint64_t id = handings_.size();
+  const Arrival& arrival = clients_[client].arrival;
+  auditor_.Taken(now, relay, id, client, arrival.message_class, world_.partners()[arrival.partner].id,
+                 DeadlineOf(client));
+  return id;
+}
+
+void Ledger::End(Seconds now, std::uint64_t id, Handing& handing, Auditor::End end) {
+  auditor_.Ended(now, id, end);
+  if (std::exchange(handing.over, true)) return;
+  handing.ended = now;
+  --open_;
+  Client& client = clients_[handing.client];
+  if (end == Auditor::End::kDelivered && !std::exchange(client.delivered, true))
+    tally_.Delivered(client.arrival, now);
+  if (end == Auditor::End::kRefused) tally_.Refused(now);
+  if (end == Auditor::End::kFailed) tally_.Failed(now);
+}
+
+void Ledger::TakenOn(Seconds now, std::uint64_t id) {
+  Handing& handing = *Find(id);
+  handing.taken_on = true;
+  if (handing.served && !handing.over) End(now, id, handing, Auditor::End::kDelivered);
+}
+
+void Ledger::Refused(Seconds now, std::uint64_t id) { End(now, id, *Find(id), Auditor::End::kRefused); }
+void Ledger::Failed(Seconds now, std::uint64_t id) { End(now, id, *Find(id), Auditor::End::kFailed); }
+void Ledger::Withdrawn(Seconds now, std::uint64_t id) {
+  Find(id)->withdrawn = true;
+  End(now, id, *Find(id), Auditor::End::kWithdrawn);
+}
+
+void Ledger::Noticed(Seconds now, std::uint64_t id, Notice notice, Seconds advice) {
+  Handing* handing = Find(id);
+  // A relay that was killed repeats what it may not have told: 'does no harm'.
+  if (handing == nullptr || handing->over) return;
+  End(now, id, *handing, notice == Notice::kGivenUp ? Auditor::End::kFailed : Auditor::End::kRefused);
+  if (notice == Notice::kHandedBack && on_handed_back) on_handed_back(handing->client, advice);
+}
+
+int Ledger::Arrived(Seconds now, int relay, std::uint64_t id, EndpointId endpoint) {
+  Handing* handing = Find(id);
+  // Nobody has told the relay that the client withdrew.
+  const auto deaf = deaf_until_.find(relay);
+  const Seconds heard =
+      deaf == deaf_until_.end() || handing == nullptr || handing->ended > deaf->second ? 0 : deaf->second;
+  const bool excused = handing != nullptr && handing->over &&
+                       (handing->withdrawn || now <= std::max(handing->ended, heard) + kOnTheWay);
+  if (excused) return kVoid;
+  if (handing == nullptr || handing->over) {
+    auditor_.Sent(now, relay, id, endpoint);  // which reports it
+    return kVoid;
+  }
+  auditor_.Sent(now, relay, id, endpoint);
+  ++tally_.result().attempts;
+  return handing->attempts++;
+}
+
+void Ledger::Ran(Seconds now, std::uint64_t id) { auditor_.Ran(now, id); }
+
+void Ledger::Over(Seconds now, std::uint64_t id, int attempt, Outcome outcome) {
+  Handing& handing = *Find(id);
+  RunResult& result = tally_.result();
+  if (outcome == Outcome::kError) ++result.errors;
+  if (outcome == Outcome::kFull) ++result.full;
+  if (outcome == Outcome::kReset) ++result.resets;
+  if (outcome == Outcome::kTimeout) ++result.timeouts;
+  auditor_.Over(id, attempt, !NeverRan(outcome));
+  if (outcome != Outcome::kServed) return;
+  handing.served = true;
+  // It counts once its client has heard, too. An end that came first stands.
+  if (handing.taken_on && !handing.over) End(now, id, handing, Auditor::End::kDelivered);
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/play.cpp
@@ -0,0 +1,282 @@
+#include "lab/sockets/play.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <utility>
+
+#include "lab/sockets/endpoints.h"
+#include "lab/sockets/front.h"
+#include "lab/sockets/ledger.h"
+#include "lab/sockets/registry.h"
+#include "lab/sockets/relay_config.h"
+#include "lab/sockets/relay_process.h"
+#include "lab/tally.h"
+#include "lab/traffic.h"
+#include "net/address.h"
+
+namespace opalroute::lab {
+
+namespace {
+
+using net::Seconds;
+
+constexpr Seconds kBeat = 0.01;        // at which the laboratory looks after processes, and at itself
+constexpr Seconds kAllReady = 30;      // from the first start, or there is no run
+constexpr Seconds kFrontSees = 1;      // after this the front notices that a relay has died
+constexpr Seconds kFrontDrains = 0.3;  // after SIGTERM new connections come for so long
+constexpr Seconds kAfterReady = 1.5;   // what was overdue at a restart may be answered until then
+constexpr Seconds kRunsOn = 3;         // after the last message's time is up
+constexpr Seconds kToEnd = 5;          // for all relays, once the run is over
+
+Auditor::Rules RulesOf(const Scenario& scenario) {
+  Auditor::Rules rules;
+  rules.answer_slack = 0.35;  // the platform's 0.3 s, and 50 ms for sockets
+  rules.drain_grace = 2.05;
+  rules.wait_grace = 0.1;
+  rules.overload_for = scenario.settings.overload_for;
+  return rules;
+}
+
+class SocketPlay : private Registry::Owner, private RelayProcess::Owner {
+ public:
+  SocketPlay(const Scenario& scenario, std::uint64_t seed, const SocketOptions& options)
+      : s_(scenario),
+        options_(options),
+        random_(seed, 5),
+        loop_(clock_),
+        world_(scenario, seed),
+        traffic_(world_, seed),
+        auditor_(RulesOf(scenario), scenario.settings.classes),
+        tally_(world_, seed),
+        ledger_(world_, auditor_, tally_),
+        endpoints_(loop_, world_, auditor_, ledger_, tally_, seed),
+        registry_(
+            loop_, world_, seed, [this](EndpointId id, int relay) { return endpoints_.AddressOf(id, relay); },
+            *this),
+        front_(loop_, scenario, traffic_, ledger_, seed) {
+    tally_.result().played = "sockets";
+    tally_.result().processes.resize(static_cast<std::size_t>(s_.relays));
+    for (EndpointId id = 1; id <= world_.endpoint_count(); ++id)
+      auditor_.Listed(id, world_.endpoint(id).destination, world_.endpoint(id).lane);
+    for (int i = 0; i < s_.relays; ++i) {
+      RelayProcess::Plan plan;
+      plan.program = options.program;
+      plan.arguments = options.relay_arguments;
+      plan.folder = options.folder + "/relay" + std::to_string(i);
+      std::filesystem::remove_all(plan.folder);
+      plan.config = [this, i](const std::string& listen) { return ConfigOf(i, listen); };
+      relays_.push_back(std::make_unique<RelayProcess>(loop_, i, std::move(plan),
+                                                       static_cast<RelayProcess::Owner&>(*this)));
+    }
+  }
+
+  RunResult Play() {
+    BringUp();
+    start_ = loop_.Now() + 0.05;
+    endpoints_.Begin(start_);
+    front_.Begin(start_);
+    for (const PoolChange& change : s_.pool_changes)
+      loop_.At(start_ + change.at, [this, change] { ChangeList(change); });
+    for (const RelayFault& fault : s_.relay_faults)
+      loop_.At(start_ + fault.at, [this, fault] { Strike(fault); });
+    Seconds longest = 0;
+    for (const ClassPlan& c : s_.classes) longest = std::max(longest, c.rules.deadline);
+    Beat(loop_.Now());
+    Second(0);
+    const Seconds ends = start_ + s_.lasts + longest + kRunsOn;
+    while (loop_.Now() < ends && !AllDone()) {
+      loop_.RunOnce(kBeat);
+      if (options_.interrupted && options_.interrupted()) throw Interrupted();
+    }
+    constexpr Seconds kEver = 1e9;  // what is not over by now never will be
+    auditor_.Until(kEver);
+    End();
+    return Result();
+  }
+
+ private:
+  Seconds now() const { return loop_.Now() - start_; }
+  RelayProcess& Of(int relay) { return *relays_[static_cast<std::size_t>(relay)]; }
+
+  nlohmann::json ConfigOf(int relay, const std::string& listen) {
+    return {{"name", "n" + std::to_string(relay)},
+            {"listen", listen},
+            {"discovery", net::FormatAddress(registry_.address(relay))},
+            {"seed", std::to_string(random_())},
+            {"limits", {{"sockets", 1024}, {"disk_mb", 3}}},
+            {"known", nlohmann::json::parse(registry_.WholeList(relay))},
+            {"settings", SettingsJson(s_, relay)}};
+  }
+
+  void BringUp() {
+    for (const auto& relay : relays_) relay->Start();
+    const Seconds until = loop_.Now() + kAllReady;
+    while (std::any_of(relays_.begin(), relays_.end(), [](const auto& relay) { return !relay->ready(); })) {
+      for (const auto& relay : relays_) relay->Poll();
+      loop_.RunOnce(kBeat);
+      if (options_.interrupted && options_.interrupted()) throw Interrupted();
+      if (!tally_.result().crashes.empty()) {
+        const Crash& crash = tally_.result().crashes.front();
+        throw std::runtime_error("relay " + std::to_string(crash.relay) + " did not come up: " + crash.how +
+                                 "; its log says:\n" + crash.last_log);
+      }
+      if (loop_.Now() > until) throw std::runtime_error("the relays were not ready in time");
+    }
+  }
+
+  // ---- what the relays do -----------------------------------------------------------------------------
+
+  void OnReady(int relay) override {
+    front_.SetRelay(relay, Of(relay).address());
+    front_.SetAlive(relay, true);
+    if (start_ > 0) auditor_.RelayDied(relay, now() + kAfterReady);  // what it held is due from now on
+  }
+  void OnCrash(int relay, const std::string& how) override {
+    auditor_.RelayDied(relay, 0);
+    front_.SetAlive(relay, false);
+    tally_.result().crashes.push_back({relay, start_ > 0 ? now() : 0, how, Of(relay).LastLog()});
+  }
+  void OnTold(int relay, EndpointId endpoint, Listing listing) override {
+    if (listing != Listing::kInService) auditor_.ToldDrain(now(), relay, endpoint);
+  }
+  void OnNotice(const std::string& message, bool handed_back, Seconds advice) override {
+    ledger_.Noticed(now(), std::strtoull(message.c_str() + 1, nullptr, 10),
+                    handed_back ? Ledger::Notice::kHandedBack : Ledger::Notice::kGivenUp, advice);
+  }
+
+  // ---- troubles ---------------------------------------------------------------------------------------
+
+  void Strike(const RelayFault& fault) {
+    RelayProcess& relay = Of(fault.relay);
+    if (!relay.running()) return;
+    const int number = fault.relay;
+    // From the signal until it is ready again nothing is overdue; OnReady says until when.
+    const Seconds away = fault.down + (fault.kind == RelayFault::Kind::kStop ? kKilledAfter : 0) + kToReady;
+    switch (fault.kind) {
+      case RelayFault::Kind::kReload:
+        return relay.Reload();
+      case RelayFault::Kind::kFreeze:
+        relay.Freeze();
+        ledger_.Deaf(number, now() + fault.down);
+        auditor_.Excuse(number, now() + fault.down + kAfterReady);
+        loop_.At(loop_.Now() + fault.down, [this, number] { Of(number).Thaw(); });
+        return;
+      case RelayFault::Kind::kStop:
+        relay.Terminate();
+        auditor_.RelayDied(number, now() + away);
+        loop_.At(loop_.Now() + kFrontDrains, [this, number] { front_.SetAlive(number, false); });
+        loop_.At(loop_.Now() + kKilledAfter, [this, number] { Of(number).Kill(); });
+        break;
+      case RelayFault::Kind::kKill:
+        relay.Kill();
+        auditor_.RelayDied(number, now() + away);
+        loop_.At(loop_.Now() + std::min(kFrontSees, fault.down), [this, number] {
+          if (!Of(number).ready()) front_.SetAlive(number, false);
+        });
+        break;
+    }
+    const Seconds comes = fault.down + (fault.kind == RelayFault::Kind::kStop ? kKilledAfter : 0);
+    loop_.At(loop_.Now() + comes, [this, number] { Of(number).Start(); });
+  }
+
+  void ChangeList(const PoolChange& change) {
+    const auto changes = world_.Change(
+        change, [this](EndpointId id) { return registry_.ListingOf(id); },
+        [this] { return static_cast<double>(random_()) * 0x1p-32; });
+    for (const World::ListChange& c : changes) {
+      if (c.listing == Listing::kInService)
+        auditor_.Listed(c.endpoint, world_.endpoint(c.endpoint).destination,
+                        world_.endpoint(c.endpoint).lane);
+      registry_.Publish(c.endpoint, c.listing);
+      if (c.listing != Listing::kDraining) continue;
+      loop_.At(loop_.Now() + World::kDrainLasts, [this, id = c.endpoint] {
+        registry_.Publish(id, Listing::kGone);
+        endpoints_.Remove(id);
+      });
+    }
+  }
+
+  // ---- the run ----------------------------------------------------------------------------------------
+
+  void Beat(Seconds due) {
+    const Seconds late = std::max(0.0, loop_.Now() - due);
+    lateness_.Add(late);
+    most_late_ = std::max(most_late_, late);
+    for (const auto& relay : relays_) relay->Poll();
+    const Seconds next = loop_.Now() + kBeat;
+    loop_.At(next, [this, next] { Beat(next); });
+  }
+
+  void Second(int number) {
+    auditor_.Until(now());
+    tally_.Sample(now());
+    for (std::size_t i = 0; i < relays_.size(); ++i) {
+      auto sample = relays_[i]->Sample();
+      if (!sample) continue;
+      sample->at = now();
+      tally_.result().processes[i].push_back(*sample);
+    }
+    if (options_.progress) options_.progress(now());
+    loop_.At(start_ + number + 1, [this, number] { Second(number + 1); });
+  }
+
+  bool AllDone() const { return now() > s_.lasts && front_.done() && ledger_.open() == 0; }
+
+  void End() {
+    for (const auto& relay : relays_) relay->Terminate();
+    const Seconds until = loop_.Now() + kToEnd;
+    const auto runs = [](const auto& relay) { return relay->running(); };
+    while (std::any_of(relays_.begin(), relays_.end(), runs) && loop_.Now() < until) {
+      for (const auto& relay : relays_) relay->Poll();
+      loop_.RunOnce(kBeat);
+    }
+  }
+
+  RunResult Result() {
+    RunResult& r = tally_.result();
+    r.breaches = auditor_.breaches();
+    r.client_doubles = auditor_.client_doubles();
+    r.lateness_p99 = lateness_.At(0.99);
+    r.lateness_most = most_late_;
+    r.answer_time = front_.answer_times();
+    if (r.lateness_p99 > options_.most_lateness_p99 || r.lateness_most > options_.most_lateness)
+      r.void_because = "the laboratory itself was late: 1% of its beats by " +
+                       std::to_string(r.lateness_p99) + " s and more, one by " +
+                       std::to_string(r.lateness_most) + " s";
+    return std::move(r);
+  }
+
+  static constexpr Seconds kKilledAfter = 3.7;  // SIGKILL follows SIGTERM no sooner (the protocol's figures)
+  static constexpr Seconds kToReady = 5;  // a new start may take so long before what it holds is overdue
+
+  const Scenario s_;
+  const SocketOptions options_;
+  pcg32 random_;
+  const net::SystemClock clock_;
+  net::EventLoop loop_;
+  World world_;
+  Traffic traffic_;
+  Auditor auditor_;
+  Tally tally_;
+  Ledger ledger_;
+  Endpoints endpoints_;
+  Registry registry_;
+  Front front_;
+  std::vector<std::unique_ptr<RelayProcess>> relays_;
+  LatencyHistogram lateness_;
+  Seconds most_late_ = 0;
+  Seconds start_ = 0;  // 0: the relays are still coming up
+};
+
+}  // namespace
+
+RunResult PlayOnSockets(const Scenario& scenario, std::uint64_t seed, const SocketOptions& options) {
+  std::filesystem::create_directories(options.folder);
+  return SocketPlay(scenario, seed, options).Play();
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/play.h
@@ -0,0 +1,34 @@
+// Plays a scenario on loopback sockets with real relay processes: emulated partners, platform and clients
+// round them, faults on the processes too. The same scenario, the same result as the simulation's.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/result.h"
+#include "lab/scenario.h"
+
+namespace opalroute::lab {
+
+struct SocketOptions {
+  std::string program;                       // of the relay
+  std::vector<std::string> relay_arguments;  // after its name
+  std::string folder;                        // for configurations, state and logs; made if it is not there
+  std::function<bool()> interrupted;         // asked now and then: true ends the run
+  std::function<void(Seconds)> progress;     // told each second
+  // Above either the laboratory was too late itself, and the run is void.
+  Seconds most_lateness_p99 = 0.02, most_lateness = 0.3;
+};
+
+class Interrupted : public std::runtime_error {
+ public:
+  Interrupted() : std::runtime_error("interrupted") {}
+};
+
+// Throws Interrupted, and std::runtime_error if the relays do not come up. No process outlives it.
+RunResult PlayOnSockets(const Scenario& scenario, std::uint64_t seed, const SocketOptions& options);
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/registry.cpp
@@ -0,0 +1,220 @@
+#include "lab/sockets/registry.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+#include "net/address.h"
+#include "net/connection.h"
+#include "net/http.h"
+
+namespace opalroute::lab {
+
+namespace {
+
+constexpr std::size_t kMostOut = 32 << 20;  // 20,000 endpoints have 4 MB of list
+constexpr net::Seconds kBeat = 2;           // an empty line in a silent watch
+const net::HttpBounds kBounds{16 * 1024, 64, 1 << 20};
+
+const char* NameOf(Listing listing) {
+  return listing == Listing::kInService ? "ready" : listing == Listing::kDraining ? "draining" : "gone";
+}
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+}  // namespace
+
+class Registry::Session : public net::Connection::Owner {
+ public:
+  Session(Registry& registry, int relay)
+      : registry_(registry), relay_(relay), parser_(net::HttpParser::Kind::kRequest, kBounds) {}
+  ~Session() override { registry_.loop_.Cancel(beat_); }
+
+  bool Open(int fd) {
+    connection_ = net::Connection::Adopt(registry_.loop_, fd, *this, 128 * 1024, kMostOut);
+    return connection_ != nullptr;
+  }
+  int relay() const { return relay_; }
+  bool watches() const { return watches_; }
+  void Shut() {
+    registry_.loop_.Cancel(beat_);
+    connection_->Close();
+  }
+  // A line of the watch: the changes after `since`.
+  void Tell(std::size_t since) {
+    connection_->Write(Chunk(registry_.ChangesSince(relay_, since) + "\n"));
+    Told(since);
+    Beat();
+  }
+
+  void OnData(net::Connection& connection) override {
+    net::RingBuffer& in = connection.in();
+    while (!in.empty()) {
+      in.Consume(parser_.Take(in.Front()));
+      if (parser_.failed()) return registry_.Drop(*this);
+      if (!parser_.done()) continue;
+      const net::HttpMessage request = std::move(parser_.message());
+      parser_.Reset();
+      Answer(request);
+    }
+    if (connection.peer_ended()) registry_.Drop(*this);
+  }
+  void OnEnd(net::Connection&, net::Connection::End) override { registry_.Drop(*this); }
+
+ private:
+  void Answer(const net::HttpMessage& request) {
+    if (request.method == "POST" && request.target == "/v1/notices") return TakeNotices(request.body);
+    const std::string path = "/registry/instances";
+    if (request.method != "GET" || request.target.rfind(path, 0) != 0) return Write(404, {});
+    if (request.target.find("follow=1") == std::string::npos) {
+      Write(200, registry_.WholeList(relay_) + "\n");
+      return Told(0);
+    }
+    watches_ = true;
+    connection_->Write(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::size_t since = request.target.find("since=");
+    const unsigned long generation =
+        since == std::string::npos ? 0 : std::strtoul(request.target.c_str() + since + 6, nullptr, 10);
+    const View& view = registry_.views_[static_cast<std::size_t>(relay_)];
+    if (generation >= 1 && generation <= view.known + 1) return Tell(generation - 1);
+    connection_->Write(Chunk(registry_.WholeList(relay_) + "\n"));
+    Told(0);
+    Beat();
+  }
+  void Told(std::size_t since) {
+    const View& view = registry_.views_[static_cast<std::size_t>(relay_)];
+    for (std::size_t i = since; i < view.known; ++i)
+      registry_.owner_.OnTold(relay_, registry_.changes_[i].endpoint, registry_.changes_[i].listing);
+  }
+  void TakeNotices(const std::string& body) {
+    std::istringstream lines(body);
+    std::vector<nlohmann::json> notices;
+    for (std::string line; std::getline(lines, line);) {
+      notices.push_back(nlohmann::json::parse(line, nullptr, false));
+      if (!notices.back().is_object() || !notices.back().contains("message")) return Write(400, {});
+    }
+    for (const nlohmann::json& notice : notices)
+      registry_.owner_.OnNotice(notice.value("message", ""), notice.value("outcome", "") == "handed_back",
+                                notice.value("retry_in_ms", 0.0) / 1000);
+    Write(204, {});
+  }
+  void Write(int status, const std::string& body) { connection_->Write(net::WriteAnswer(status, {}, body)); }
+  void Beat() {
+    registry_.loop_.Cancel(beat_);
+    beat_ = registry_.loop_.At(registry_.loop_.Now() + kBeat, [this] {
+      beat_ = 0;
+      connection_->Write(Chunk("\n"));
+      Beat();
+    });
+  }
+
+  Registry& registry_;
+  const int relay_;
+  std::unique_ptr<net::Connection> connection_;
+  net::HttpParser parser_;
+  bool watches_ = false;
+  net::EventLoop::TimerId beat_ = 0;
+};
+
+Registry::Registry(net::EventLoop& loop, const World& world, std::uint64_t seed,
+                   std::function<std::string(EndpointId, int)> address_of, Owner& owner)
+    : loop_(loop),
+      world_(world),
+      random_(seed, 4),
+      address_of_(std::move(address_of)),
+      owner_(owner),
+      listings_(world.endpoint_count(), Listing::kInService) {
+  for (int relay = 0; relay < world.scenario().relays; ++relay) {
+    views_.push_back({0, 0, listings_});
+    listeners_.push_back(
+        std::make_unique<net::Listener>(loop, *net::ParseAddress("127.0.0.1:0"), [this, relay](int fd) {
+          auto session = std::make_unique<Session>(*this, relay);
+          Session* const key = session.get();
+          if (session->Open(fd)) sessions_.emplace(key, std::move(session));
+        }));
+  }
+}
+
+Registry::~Registry() {
+  for (const auto& [key, session] : sessions_) session->Shut();
+}
+
+void Registry::Drop(Session& session) {
+  const auto it = sessions_.find(&session);
+  if (it == sessions_.end()) return;
+  session.Shut();
+  loop_.Retire(std::move(it->second));
+  sessions_.erase(it);
+}
+
+std::string Registry::Row(EndpointId id, Listing listing, int relay) const {
+  const PartnerEndpoint& e = world_.endpoint(id);
+  const nlohmann::json row = {{"instanceId", "e" + std::to_string(id)},
+                              {"hostPort", address_of_(id, relay)},
+                              {"zone", world_.scenario().zones[static_cast<std::size_t>(e.zone)]},
+                              {"machineType", e.kind == 1 ? "apart" : "plain"},
+                              {"cell", e.destination},
+                              {"lifecycle", NameOf(listing)},
+                              {"weight", e.rating},
+                              {"startedAtMs", 0}};
+  return row.dump();
+}
+
+std::string Registry::WholeList(int relay) const {
+  const View& view = views_[static_cast<std::size_t>(relay)];
+  std::string rows;
+  for (EndpointId id = 1; id <= view.listings.size(); ++id)
+    if (view.listings[id - 1] != Listing::kGone)
+      rows += (rows.empty() ? "" : ",") + Row(id, view.listings[id - 1], relay);
+  return "{\"generation\":" + std::to_string(view.known + 1) + ",\"reset\":true,\"instances\":[" + rows +
+         "]}";
+}
+
+std::string Registry::ChangesSince(int relay, std::size_t since) const {
+  const View& view = views_[static_cast<std::size_t>(relay)];
+  std::string rows;
+  for (std::size_t i = since; i < view.known; ++i)
+    rows += (rows.empty() ? "" : ",") + Row(changes_[i].endpoint, changes_[i].listing, relay);
+  return "{\"generation\":" + std::to_string(view.known + 1) + ",\"reset\":false,\"instances\":[" + rows +
+         "]}";
+}
+
+void Registry::Publish(EndpointId endpoint, Listing listing) {
+  if (endpoint > listings_.size()) listings_.resize(endpoint, Listing::kGone);
+  listings_[endpoint - 1] = listing;
+  changes_.push_back({endpoint, listing});
+  const std::size_t number = changes_.size();
+  const Range& late = world_.scenario().list_late;
+  for (int relay = 0; relay < static_cast<int>(views_.size()); ++relay) {
+    View& view = views_[static_cast<std::size_t>(relay)];
+    const double drawn = late.least + (late.most - late.least) * (static_cast<double>(random_()) * 0x1p-32);
+    view.last_due = std::max(view.last_due, loop_.Now() + drawn);  // changes come in their order
+    loop_.At(view.last_due, [this, relay, number] { Advance(relay, number); });
+  }
+}
+
+void Registry::Advance(int relay, std::size_t change) {
+  View& view = views_[static_cast<std::size_t>(relay)];
+  const std::size_t since = view.known;
+  if (change <= since) return;
+  view.known = change;
+  for (std::size_t i = since; i < change; ++i) {
+    if (changes_[i].endpoint > view.listings.size())
+      view.listings.resize(changes_[i].endpoint, Listing::kGone);
+    view.listings[changes_[i].endpoint - 1] = changes_[i].listing;
+  }
+  std::vector<Session*> watching;  // one that turns out to be dead drops out meanwhile
+  for (const auto& [key, session] : sessions_)
+    if (session->relay() == relay && session->watches()) watching.push_back(key);
+  for (Session* session : watching) session->Tell(since);
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/relay_process.cpp
@@ -0,0 +1,154 @@
+#include "lab/sockets/relay_process.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "net/address.h"
+#include "net/listener.h"
+
+namespace opalroute::lab {
+
+namespace {
+
+constexpr net::Seconds kToReady = 15;       // a relay that is not ready by then is not started
+constexpr net::Seconds kKilledAfter = 3.7;  // SIGKILL follows SIGTERM so much later (the protocol's figures)
+constexpr int kPorts = 5;                   // tried, where somebody else has taken the one chosen
+
+net::ClientBounds Bounds() {
+  net::ClientBounds bounds;
+  bounds.http = {16 * 1024, 64, 64 * 1024};
+  bounds.request_bytes = 4096;
+  bounds.connections = 2;
+  bounds.connect_time = bounds.idle_time = bounds.answer_time = bounds.rest_time = 1;
+  return bounds;
+}
+
+// Free at this moment. Somebody may take it before the relay does: then another is tried.
+sockaddr_in FreeAddress() {
+  const int fd = net::OpenListener(*net::ParseAddress("127.0.0.1:0"));
+  const sockaddr_in address = net::BoundAddress(fd);
+  close(fd);
+  return address;
+}
+
+}  // namespace
+
+class RelayProcess::Check : public net::HttpClient::Call {
+ public:
+  explicit Check(RelayProcess& relay) : relay_(relay) {}
+
+ private:
+  std::string OnReady() override { return net::WriteRequest("GET", "/health/ready", {{"Host", "lab"}}, {}); }
+  void OnAnswer(net::HttpMessage& answer) override { End(answer.status == 200); }
+  void OnBroken(net::HttpClient::Broken, int) override { End(false); }
+  void End(bool ready) {
+    RelayProcess& relay = relay_;
+    relay.loop_.Retire(std::move(relay.check_));
+    if (!ready || relay.ready_ || relay.stopping_ || !relay.running()) return;
+    relay.ready_ = true;
+    relay.owner_.OnReady(relay.number_);
+  }
+  RelayProcess& relay_;
+};
+
+RelayProcess::RelayProcess(net::EventLoop& loop, int number, Plan plan, Owner& owner)
+    : loop_(loop), number_(number), plan_(std::move(plan)), owner_(owner), client_(loop, Bounds()) {
+  std::filesystem::create_directories(plan_.folder + "/state");
+}
+
+RelayProcess::~RelayProcess() {
+  if (check_) client_.Abandon(*check_);
+}
+
+void RelayProcess::WriteConfig() {
+  std::ofstream(plan_.folder + "/config.json") << plan_.config(net::FormatAddress(address_)).dump(1) << '\n';
+}
+
+void RelayProcess::Start() {
+  tries_ = 0;
+  if (address_.sin_port == 0) address_ = FreeAddress();
+  Launch();
+}
+
+void RelayProcess::Launch() {
+  ++tries_;
+  ready_ = stopping_ = frozen_ = false;
+  launched_ = loop_.Now();
+  WriteConfig();
+  process_ = std::make_unique<Process>(
+      plan_.program, plan_.arguments,
+      std::map<std::string, std::string>{{"EDGE_CONFIG", plan_.folder + "/config.json"},
+                                         {"EDGE_STATE", plan_.folder + "/state"}},
+      plan_.folder + "/log");
+}
+
+void RelayProcess::Poll() {
+  if (!process_) return;
+  if (const auto how = process_->Ended()) {
+    process_.reset();
+    const bool was_ready = std::exchange(ready_, false);
+    if (stopping_) return;
+    if (!was_ready && tries_ < kPorts) {
+      address_ = FreeAddress();
+      return Launch();
+    }
+    return owner_.OnCrash(number_, *how);
+  }
+  const net::Seconds now = loop_.Now();
+  if (stopping_ && now >= stopped_ + kKilledAfter) process_->Signal(SIGKILL);
+  if (ready_ || stopping_) return;
+  if (now < launched_ + kToReady) return Ask();
+  process_.reset();
+  owner_.OnCrash(number_, "it was not ready in time");
+}
+
+void RelayProcess::Ask() {
+  if (check_) return;
+  check_ = std::make_unique<Check>(*this);
+  client_.Start({address_, 0}, *check_);
+}
+
+void RelayProcess::Terminate() {
+  if (!process_ || stopping_) return;
+  ready_ = false;
+  stopping_ = true;
+  stopped_ = loop_.Now();
+  Thaw();
+  process_->Signal(SIGTERM);
+}
+
+void RelayProcess::Kill() {
+  ready_ = false;
+  process_.reset();
+}
+
+void RelayProcess::Freeze() {
+  if (!process_) return;
+  frozen_ = true;
+  process_->Signal(SIGSTOP);
+}
+
+void RelayProcess::Thaw() {
+  if (process_ && std::exchange(frozen_, false)) process_->Signal(SIGCONT);
+}
+
+void RelayProcess::Reload() {
+  if (!process_) return;
+  WriteConfig();
+  process_->Signal(SIGHUP);
+}
+
+std::optional<ProcessSample> RelayProcess::Sample() const {
+  if (!process_) return std::nullopt;
+  return process_->Sample();
+}
+
+std::string RelayProcess::LastLog() const {
+  return process_ ? process_->LastLog() : Process::LastLogOf(plan_.folder + "/log");
+}
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/sockets/relay_process.h
@@ -0,0 +1,72 @@
+// One relay of a scenario as a process of its own: started, watched until it is ready, struck by faults, and
+// started again in the folder that lasts.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/sockets/process.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+namespace opalroute::lab {
+
+class RelayProcess {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void OnReady(int relay) = 0;
+    // Nobody has told it to end, or it could not start. It stays down.
+    virtual void OnCrash(int relay, const std::string& how) = 0;
+  };
+  struct Plan {
+    std::string program;                 // of the relay
+    std::vector<std::string> arguments;  // after its name
+    std::string folder;                  // of its own: config.json, state/, log
+    std::function<nlohmann::json(const std::string& listen)> config;
+  };
+  RelayProcess(net::EventLoop& loop, int number, Plan plan, Owner& owner);
+  ~RelayProcess();
+
+  void Start();      // with the configuration as it is by now
+  void Poll();       // to be called every few milliseconds
+  void Terminate();  // SIGTERM, and SIGKILL where it takes too long
+  void Kill();       // SIGKILL
+  void Freeze();     // SIGSTOP
+  void Thaw();       // SIGCONT
+  void Reload();     // a new file, and SIGHUP
+
+  bool running() const { return process_ != nullptr; }
+  bool ready() const { return ready_; }
+  bool frozen() const { return frozen_; }
+  sockaddr_in address() const { return address_; }
+  std::optional<ProcessSample> Sample() const;
+  std::string LastLog() const;
+
+ private:
+  class Check;
+  void WriteConfig();
+  void Launch();
+  void Ask();
+
+  net::EventLoop& loop_;
+  const int number_;
+  const Plan plan_;
+  Owner& owner_;
+  net::HttpClient client_;
+  sockaddr_in address_{};
+  std::unique_ptr<Process> process_;
+  std::unique_ptr<Check> check_;
+  bool ready_ = false, stopping_ = false, frozen_ = false;
+  int tries_ = 0;
+  net::Seconds launched_ = 0, stopped_ = 0;
+};
+
+}  // namespace opalroute::lab
--- /dev/null
+++ b/lab/tally.cpp
@@ -0,0 +1,78 @@
+#include "lab/tally.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace opalroute::lab {
+
+Tally::Tally(World& world, std::uint64_t seed) : world_(world), s_(world.scenario()) {
+  result_.scenario = s_.name;
+  result_.seed = seed;
+  for (const ClassPlan& c : s_.classes) {
+    result_.classes.emplace_back();
+    result_.classes.back().name = c.name;
+  }
+  result_.seconds.resize(static_cast<std::size_t>(std::ceil(s_.lasts)));
+  for (const WorldPartner& partner : world.partners())
+    result_.partners.push_back({static_cast<int>(partner.id), partner.share, partner.limit});
+  result_.watched = world.WatchedPartner();
+}
+
+Second& Tally::SecondAt(Seconds when) {
+  const auto index = static_cast<std::size_t>(std::max(0.0, when));
+  if (index >= result_.seconds.size()) result_.seconds.resize(index + 1);
+  return result_.seconds[index];
+}
+
+void Tally::Offered(const Arrival& arrival) {
+  const auto index = static_cast<std::size_t>(arrival.message_class);
+  ++result_.classes[index].asked;
+  result_.classes[index].worth_asked += s_.classes[index].rules.worth;
+  ++result_.partners[arrival.partner].asked;
+  ++SecondAt(arrival.due).offered;
+}
+
+void Tally::Delivered(const Arrival& arrival, Seconds now) {
+  const auto index = static_cast<std::size_t>(arrival.message_class);
+  ClassOutcome& c = result_.classes[index];
+  const MessageClass& rules = s_.classes[index].rules;
+  const Seconds took = now - arrival.due;
+  ++c.delivered;
+  c.latency.Add(took);
+  ++result_.partners[arrival.partner].delivered;
+  ++SecondAt(arrival.due).delivered;
+  if (took <= rules.aim) {
+    ++c.in_aim;
+    c.worth += rules.worth;
+  } else if (took < rules.deadline) {
+    c.worth += rules.worth * (1 - (1 - rules.late_share) * (took - rules.aim) / (rules.deadline - rules.aim));
+  }
+}
+
+void Tally::Refused(Seconds now) {
+  ++result_.refused;
+  ++SecondAt(now).refused;
+}
+
+void Tally::Failed(Seconds now) {
+  ++result_.failed;
+  ++SecondAt(now).failed;
+}
+
+void Tally::Call(Seconds now, DestinationId destination) {
+  ++result_.calls;
+  Second& second = SecondAt(now);
+  ++second.calls;
+  const auto partner = static_cast<std::size_t>(destination - 1);
+  ++result_.partners[partner].calls;
+  if (static_cast<int>(partner) == result_.watched) ++second.watched_calls;
+}
+
+void Tally::Full(Seconds now) { ++SecondAt(now).full; }
+
+void Tally::Sample(Seconds now) {
+  SecondAt(now).watched_capacity =
+      world_.CapacityOf(static_cast<std::size_t>(result_.watched), std::max(0.0, now));
+}
+
+}  // namespace opalroute::lab
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <set>
 
 namespace opalroute::lab {
 
@@ -87,6 +88,21 @@
   return outages;
 }
 
+int World::WatchedPartner() const {
+  for (std::size_t i = 0; i < partners_.size(); ++i)
+    for (const std::vector<bool>& struck : struck_by_)
+      if (struck[i]) return static_cast<int>(i);
+  return 0;
+}
+
+double World::CapacityOf(std::size_t partner, Seconds now) const {
+  double sum = 0;
+  std::set<std::uint32_t> seen;
+  for (const EndpointId id : partners_[partner].endpoints)
+    if (seen.insert(endpoint(id).lane).second) sum += lanes_[endpoint(id).lane]->CapacityAt(now);
+  return sum;
+}
+
 std::uint32_t World::AddLane(const LaneSettings& settings, std::vector<LaneOutage> outages) {
   lanes_.push_back(std::make_unique<LaneModel>(settings, std::move(outages), random_()));
   return static_cast<std::uint32_t>(lanes_.size() - 1);
@@ -98,6 +114,29 @@
   return endpoint.id;
 }
 
+std::vector<World::ListChange> World::Change(const PoolChange& change,
+                                             const std::function<Listing(EndpointId)>& listing_of,
+                                             const std::function<double()>& draw) {
+  std::vector<ListChange> changes;
+  std::set<EndpointId> leaving;
+  const std::size_t count = endpoints_.size();
+  for (EndpointId id = 1; id <= count; ++id) {
+    if (listing_of(id) != Listing::kInService || draw() >= change.share) continue;
+    if (change.kind == PoolChange::Kind::kReplace) {
+      changes.push_back({Replace(id), Listing::kInService});
+    } else {
+      const WorldPartner& partner = partners_[static_cast<std::size_t>(endpoint(id).destination - 1)];
+      const auto left = std::count_if(partner.endpoints.begin(), partner.endpoints.end(), [&](EndpointId e) {
+        return listing_of(e) == Listing::kInService && leaving.count(e) == 0;
+      });
+      if (left < 2) continue;  // a partner that drains its last endpoint has left
+    }
+    leaving.insert(id);
+    changes.push_back({id, Listing::kDraining});
+  }
+  return changes;
+}
+
 EndpointId World::Replace(EndpointId old) {
   PartnerEndpoint endpoint = endpoints_[old - 1];
   if (endpoint.kind == 1) endpoint.lane = AddLane(lanes_[endpoint.lane]->settings(), {});
--- a/lab/world.h
+++ b/lab/world.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <pcg_random.hpp>
 #include <vector>
@@ -30,6 +31,8 @@
 
 class World {
  public:
+  static constexpr Seconds kDrainLasts = 5;  // from 'draining' until the machine has gone
+
   World(const Scenario& scenario, std::uint64_t seed);
 
   const Scenario& scenario() const { return scenario_; }
@@ -39,6 +42,20 @@
   std::size_t endpoint_count() const { return endpoints_.size(); }
   LaneModel& lane(std::uint32_t index) { return *lanes_[index]; }
 
+  // The one whose load is worth a look: the busiest that a trouble strikes, else the busiest.
+  int WatchedPartner() const;
+  // Calls that the partner can do at that moment, a second, over all its lanes.
+  double CapacityOf(std::size_t partner, Seconds now) const;
+
+  // What such a change does to the list as it stands. `draw`: from 0 to 1.
+  struct ListChange {
+    EndpointId endpoint = 0;
+    Listing listing{};
+  };
+  std::vector<ListChange> Change(const PoolChange& change,
+                                 const std::function<Listing(EndpointId)>& listing_of,
+                                 const std::function<double()>& draw);
+
   // Another machine takes the endpoint's place, under a new id; the lane of a shared limit stays.
   EndpointId Replace(EndpointId old);
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -29,7 +29,10 @@
 }
 
 Listener::Listener(EventLoop& loop, const sockaddr_in& listen_at, std::function<void(int fd)> accepted)
-    : loop_(loop), accepted_(std::move(accepted)), fd_(OpenListener(listen_at)) {
+    : Listener(loop, OpenListener(listen_at), std::move(accepted)) {}
+
+Listener::Listener(EventLoop& loop, int fd, std::function<void(int fd)> accepted)
+    : loop_(loop), accepted_(std::move(accepted)), fd_(fd) {
   if (!loop_.Add(fd_, this)) throw std::system_error(errno, std::generic_category(), "listen");
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -17,6 +17,8 @@
 class Listener : public EventHandler {
  public:
   Listener(EventLoop& loop, const sockaddr_in& listen_at, std::function<void(int fd)> accepted);
+  // Takes over a socket that listens already.
+  Listener(EventLoop& loop, int fd, std::function<void(int fd)> accepted);
   ~Listener() override;
   sockaddr_in address() const { return BoundAddress(fd_); }
   void OnEvents(std::uint32_t events) override;
--- /dev/null
+++ b/tests/lab_sockets_test.cpp
@@ -0,0 +1,360 @@
+// The laboratory on sockets: real relay processes, and the page on a run.
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+
+#include "config/fields.h"
+#include "lab/capacity/raw.h"
+#include "lab/report/report.h"
+#include "lab/simulation.h"
+#include "lab/sockets/endpoints.h"
+#include "lab/sockets/loopback.h"
+#include "lab/sockets/play.h"
+#include "lab/sockets/process.h"
+#include "net/address.h"
+#include "program.h"
+
+namespace opalroute::lab {
+namespace {
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+class Folder {
+ public:
+  Folder() : path_(fs::temp_directory_path() / ("opalroute-lab-test-" + std::to_string(getpid()))) {
+    fs::remove_all(path_);
+    fs::create_directories(path_);
+  }
+  ~Folder() { fs::remove_all(path_); }
+  std::string operator/(const std::string& name) const { return (path_ / name).string(); }
+
+ private:
+  fs::path path_;
+};
+
+// Six seconds of a small deployment in which a partner shuts.
+json SmallDay() {
+  json classes = json::array();
+  for (const char* effect : {"idempotent", "deduplicated", "at_most_once"})
+    classes.push_back({{"name", effect},
+                       {"effect", effect},
+                       {"share", effect == std::string("idempotent") ? 0.6 : 0.2},
+                       {"aim_s", 1},
+                       {"deadline_s", 4},
+                       {"worth", 1}});
+  return {{"name", "small"},
+          {"relays", 2},
+          {"classes", classes},
+          {"lasts_s", 6},
+          {"load", {{"rate", 40}}},
+          {"partners", {{"count", 5}, {"apart", 0.4}, {"bundle", 3}, {"latency_s", {0.05, 0.1}}}},
+          {"troubles", {{{"kind", "shut"}, {"partner", 1}, {"from_s", 1}, {"lasts_s", 2}}}}};
+}
+
+SocketOptions OptionsIn(const std::string& folder) {
+  SocketOptions options;
+  options.program = RELAY_PROGRAM;
+  options.folder = folder;
+  return options;
+}
+
+// A run on a machine that was busy says nothing, and says so: then once more.
+RunResult Played(const Scenario& scenario, const SocketOptions& options) {
+  RunResult result = PlayOnSockets(scenario, 1, options);
+  for (int i = 0; i < 4 && !result.void_because.empty(); ++i) result = PlayOnSockets(scenario, 1, options);
+  REQUIRE(result.void_because.empty());
+  return result;
+}
+
+bool SomebodyListens(const std::string& address) {
+  try {
+    close(raw::Connect(*net::ParseAddress(address)));
+    return true;
+  } catch (const std::exception&) { return false; }
+}
+
+// ---- the ledger ----------------------------------------------------------------------------------------
+
+struct Books {
+  Scenario scenario = ReadScenario({{"partners", {{"count", 1}, {"endpoints", {1, 1}}}}});
+  World world{scenario, 1};
+  Auditor auditor{Auditor::Rules{}, scenario.settings.classes};
+  Tally tally{world, 1};
+  Ledger ledger{world, auditor, tally};
+  std::size_t client = 0;
+  Books() {
+    auditor.Listed(1, 1, 0);
+    client = ledger.Ask({0, 2, 0});  // a payment
+  }
+};
+
+TEST_CASE("lab: a message counts as delivered once its client has heard and its partner has served") {
+  Books b;
+  const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
+  const int attempt = b.ledger.Arrived(0.1, 0, id, 1);
+  b.ledger.Over(0.2, id, attempt, Outcome::kServed);
+  CHECK(b.tally.result().classes[2].delivered == 0);
+  b.ledger.TakenOn(0.3, id);
+  CHECK(b.tally.result().classes[2].delivered == 1);
+  b.ledger.Noticed(0.4, id, Ledger::Notice::kGivenUp, 0);  // does no harm
+  CHECK(b.auditor.breaches().empty());
+}
+
+TEST_CASE("lab: what comes under a withdrawn id is void; after any other end it is a breach") {
+  Books b;
+  const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
+  const int first = b.ledger.Arrived(0.1, 0, id, 1);
+  b.ledger.Ran(0.1, id);
+  b.ledger.Withdrawn(0.4, id);
+  b.ledger.Over(0.45, id, first, Outcome::kServed);  // counts no more
+  CHECK(b.ledger.Arrived(0.5, 0, id, 1) == Ledger::kVoid);
+  CHECK(b.auditor.breaches().empty());
+  const std::uint64_t again = b.ledger.HandIn(0.5, 1, b.client);
+  CHECK(b.ledger.Arrived(0.6, 1, again, 1) == 0);
+  b.ledger.Ran(0.6, again);  // no payment twice: the first counts no more
+  CHECK(b.auditor.breaches().empty());
+  CHECK(b.ledger.Arrived(2, 0, id, 1) == Ledger::kVoid);
+  CHECK(b.auditor.breaches().empty());
+  b.ledger.Over(2, again, 0, Outcome::kError);
+  b.ledger.Failed(2, again);
+  CHECK(b.ledger.Arrived(2.2, 1, again, 1) == Ledger::kVoid);  // it was on its way
+  CHECK(b.auditor.breaches().empty());
+  CHECK(b.ledger.Arrived(2.3, 1, again, 1) == Ledger::kVoid);
+  CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 1);
+  b.ledger.Deaf(1, 3);  // frozen: it has heard nothing
+  CHECK(b.ledger.Arrived(3.2, 1, again, 1) == Ledger::kVoid);
+  CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 1);
+  CHECK(b.ledger.Arrived(3.3, 0, 99, 1) == Ledger::kVoid);  // nobody has handed it in
+  CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 2);
+}
+
+TEST_CASE("lab: a message handed back by notice comes again") {
+  Books b;
+  double advised = 0;
+  b.ledger.on_handed_back = [&](std::size_t, Seconds advice) { advised = advice; };
+  const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
+  b.ledger.TakenOn(0.1, id);
+  b.ledger.Noticed(1, id, Ledger::Notice::kHandedBack, 0.5);
+  CHECK(advised == 0.5);
+  CHECK(b.tally.result().refused == 1);
+  CHECK(b.ledger.open() == 0);
+}
+
+// ---- endpoints -----------------------------------------------------------------------------------------
+
+TEST_CASE("lab: 20,000 endpoints cost one descriptor") {
+  const Scenario scenario =
+      ReadScenario({{"relays", 1}, {"partners", {{"count", 20000}, {"endpoints", {1, 1}}}}});
+  World world(scenario, 1);
+  Auditor auditor(Auditor::Rules{}, scenario.settings.classes);
+  Tally tally(world, 1);
+  Ledger ledger(world, auditor, tally);
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  const long before = SampleOf(getpid()).descriptors;
+  Endpoints endpoints(loop, world, auditor, ledger, tally, 1);
+  CHECK(SampleOf(getpid()).descriptors == before + 1);
+  CHECK(endpoints.AddressOf(20000, 0).rfind("127.32.78.32:", 0) == 0);
+  const int first = raw::Connect(*net::ParseAddress(endpoints.AddressOf(1, 0)));
+  const int last = raw::Connect(*net::ParseAddress(endpoints.AddressOf(20000, 0)));
+  loop.RunOnce(1);
+  CHECK(endpoints.connections() == 2);
+  close(first);
+  close(last);
+}
+
+TEST_CASE("lab: an endpoint that refuses connections refuses them for as long as it should") {
+  const Scenario scenario = ReadScenario(
+      {{"relays", 1},
+       {"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
+       {"troubles", {{{"kind", "refuse"}, {"partner", 0}, {"from_s", 0.05}, {"lasts_s", 0.1}}}}});
+  World world(scenario, 1);
+  Auditor auditor(Auditor::Rules{}, scenario.settings.classes);
+  Tally tally(world, 1);
+  Ledger ledger(world, auditor, tally);
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  Endpoints endpoints(loop, world, auditor, ledger, tally, 1);
+  const std::string address = endpoints.AddressOf(1, 0);
+  CHECK(SomebodyListens(address));
+  endpoints.Begin(loop.Now());
+  const auto until = [&](bool listens) {
+    for (const double ends = loop.Now() + 5; loop.Now() < ends && SomebodyListens(address) != listens;)
+      loop.RunOnce(0.01);
+    return SomebodyListens(address) == listens;
+  };
+  CHECK(until(false));
+  CHECK(until(true));
+}
+
+// ---- whole runs ----------------------------------------------------------------------------------------
+
+TEST_CASE("lab: sockets and simulated time say the same of a small day") {
+  const Folder folder;
+  const Scenario scenario = ReadScenario(SmallDay());
+  const RunResult simulated = Simulation(scenario, 1).Run();
+  const RunResult real = Played(scenario, OptionsIn(folder / "run"));
+  for (const RunResult* r : {&simulated, &real}) {
+    CHECK(r->breaches.empty());
+    CHECK(r->crashes.empty());
+  }
+  for (std::size_t c = 0; c < 3; ++c) {
+    CHECK(real.classes[c].asked == simulated.classes[c].asked);  // the same traffic
+    CHECK(real.classes[c].delivered >= simulated.classes[c].delivered * 0.9);
+  }
+  CHECK(std::abs(real.Worth() - simulated.Worth()) < 0.1);
+  CHECK(std::abs(real.classes[0].latency.At(0.5) - simulated.classes[0].latency.At(0.5)) < 0.05);
+  CHECK(real.processes[1].size() >= 6);
+  CHECK(real.processes[1].back().rss_kb > 1000);
+}
+
+TEST_CASE("lab: relays that are killed, stopped, frozen and told to reload break no rule") {
+  const Folder folder;
+  json day = SmallDay();
+  day["relay_faults"] = {{{"kind", "kill"}, {"relay", 0}, {"at_s", 1}, {"down_s", 0.6}},
+                         {{"kind", "stop"}, {"relay", 1}, {"at_s", 2.5}, {"down_s", 0.6}},
+                         {{"kind", "freeze"}, {"relay", 0}, {"at_s", 4}, {"down_s", 0.5}},
+                         {{"kind", "reload"}, {"relay", 0}, {"at_s", 5}}};
+  const RunResult r = Played(ReadScenario(day), OptionsIn(folder / "run"));
+  CHECK(r.crashes.empty());
+  for (const Breach& b : r.breaches) FAIL_CHECK(std::string(NameOf(b.kind)), " at ", b.at, ": ", b.trace);
+  CHECK(r.processes[0].back().cpu < r.processes[0].front().cpu + 60);
+  std::ifstream log(folder / "run/relay0/log");
+  std::string text((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+  std::size_t starts = 0;
+  for (std::size_t at = text.find("listening"); at != std::string::npos; at = text.find("listening", at + 1))
+    ++starts;
+  CHECK(starts == 2);
+}
+
+TEST_CASE("lab: a frozen relay in simulated time does what it has to do once it may") {
+  json day = SmallDay();
+  day["relays"] = 1;
+  day["troubles"] = json::array();
+  const RunResult sound = Simulation(ReadScenario(day), 1).Run();
+  day["relay_faults"] = {{{"kind", "freeze"}, {"relay", 0}, {"at_s", 2}, {"down_s", 1}}};
+  const RunResult frozen = Simulation(ReadScenario(day), 1).Run();
+  CHECK(frozen.breaches.empty());
+  CHECK(frozen.seconds[2].calls < sound.seconds[2].calls / 4);
+  CHECK(frozen.classes[0].latency.At(0.99) > sound.classes[0].latency.At(0.99) + 0.3);
+}
+
+TEST_CASE("lab: a relay that crashes is reported with its log, and the run comes to its end") {
+  const Folder folder;
+  const std::string program = folder / "relay";
+  // The first to start is killed after 2 s by one who is not the laboratory.
+  std::ofstream(program) << "#!/bin/sh\nif mkdir '" << (folder / "first")
+                         << "' 2>/dev/null; then exec timeout --foreground -s KILL 2 '" << RELAY_PROGRAM
+                         << "'; fi\nexec '" << RELAY_PROGRAM << "'\n";
+  fs::permissions(program, fs::perms::owner_all);
+  SocketOptions options = OptionsIn(folder / "run");
+  options.program = program;
+  options.most_lateness = options.most_lateness_p99 = 100;  // it is about the crash alone
+  const RunResult r = PlayOnSockets(ReadScenario(SmallDay()), 1, options);
+  REQUIRE(r.crashes.size() == 1);
+  CHECK(r.crashes[0].at < 3);
+  CHECK(r.crashes[0].last_log.find("listening") != std::string::npos);
+  CHECK(!r.Sound());
+}
+
+TEST_CASE("lab: a relay that does not come up ends the run with its log") {
+  const Folder folder;
+  SocketOptions options = OptionsIn(folder / "run");
+  options.relay_arguments = {"--no-such-flag"};
+  std::string why;
+  try {
+    PlayOnSockets(ReadScenario(SmallDay()), 1, options);
+  } catch (const std::runtime_error& error) { why = error.what(); }
+  CHECK(why.find("did not come up: exit status") != std::string::npos);
+  CHECK(why.find("no-such-flag") != std::string::npos);
+}
+
+TEST_CASE("lab: a run whose laboratory was late is void") {
+  const Folder folder;
+  SocketOptions options = OptionsIn(folder / "run");
+  options.most_lateness = 0;
+  json day = SmallDay();
+  day["lasts_s"] = 0.5;
+  const RunResult r = PlayOnSockets(ReadScenario(day), 1, options);
+  CHECK(r.void_because.find("late") != std::string::npos);
+}
+
+TEST_CASE("lab: an interrupt leaves no process behind, and SIGKILL does not either") {
+  const Folder folder;
+  std::ofstream(folder / "day.json") << SmallDay().dump();
+  for (const int number : {SIGINT, SIGKILL}) {
+    const std::string out = folder / ("run" + std::to_string(number));
+    Program lab(folder / "none", "",
+                {"run", folder / "day.json", "--sockets", "--out", out, "--relay", RELAY_PROGRAM},
+                LAB_PROGRAM);
+    const std::string log = out + "/relays/relay1/log";
+    std::string address;
+    for (int i = 0; i < 1000 && address.empty(); ++i) {
+      usleep(10000);
+      std::ifstream file(out + "/relays/relay1/config.json");
+      const json config = json::parse(file, nullptr, false);
+      if (config.is_object() && SomebodyListens(config["listen"])) address = config["listen"];
+    }
+    REQUIRE(!address.empty());
+    lab.Signal(number);
+    lab.ExitStatus();
+    bool gone = false;
+    for (int i = 0; i < 500 && !gone; ++i) {
+      gone = !SomebodyListens(address);
+      if (!gone) usleep(10000);
+    }
+    CHECK(gone);
+  }
+}
+
+// ---- the report ----------------------------------------------------------------------------------------
+
+int CountOf(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
+TEST_CASE("lab: the report of two runs has its parts in order, and needs no network") {
+  const Folder folder;
+  json day = SmallDay();
+  for (const char* name : {"a", "b"}) {
+    RunResult r = Simulation(ReadScenario(day), 1).Run();
+    r.breaches.push_back({BreachKind::kInWait, 1.5, 0, 7, 2, "sent to <b>2</b> & out"});
+    r.crashes.push_back({1, 2, "signal 9", "the last <line>"});
+    fs::create_directories(folder / name);
+    std::ofstream(folder / (std::string(name) + "/result.json")) << r.ToJson().dump();
+    day["load"]["rate"] = 80;
+  }
+  const std::string page = WriteReport({ReadRun(folder / "a"), ReadRun(folder / "b")});
+  std::string sections;
+  const std::regex section("<section id=\"([a-z]+)\">");
+  for (std::sregex_iterator it(page.begin(), page.end(), section), end; it != end; ++it)
+    sections += (*it)[1].str() + " ";
+  CHECK(sections == "figures flow partner latency classes destinations breaches crashes ");
+  CHECK(CountOf(page, "<svg") == 6);
+  CHECK(CountOf(page, "</svg>") == 6);
+  CHECK(CountOf(page, "in_wait") == 2);
+  CHECK(page.find("sent to &lt;b&gt;2&lt;/b&gt; &amp; out") != std::string::npos);
+  CHECK(page.find("the last &lt;line&gt;") != std::string::npos);
+  // Addresses that only name XML dialects are fetched by nobody.
+  const std::regex fetched("(src|href|url)\\s*[=(]\\s*[\"']?(https?:|//)");
+  CHECK(!std::regex_search(page, fetched));
+  CHECK(page.find("{{") == std::string::npos);
+  CHECK(page.rfind("</html>\n") == page.size() - 8);
+}
+
+TEST_CASE("lab: a report on what is no run says what is lacking") {
+  const Folder folder;
+  CHECK_THROWS_WITH_AS(ReadRun(folder / "no"), doctest::Contains("there is no"), config::FieldError);
+  std::ofstream(folder / "result.json") << "{}";
+  CHECK_THROWS_WITH_AS(ReadRun(folder / ""), doctest::Contains("has no 'scenario'"), config::FieldError);
+}
+
+}  // namespace
+}  // namespace opalroute::lab
--- a/tests/learning_test.cpp
+++ b/tests/learning_test.cpp
@@ -12,7 +12,7 @@
 #include <random>
 
 #include "lab/clock.h"
-#include "lab/learning_experiment.h"
+#include "lab/experiments/learning_experiment.h"
 #include "learning/donor.h"
 #include "learning/judge.h"
 #include "learning/learner.h"
--- a/tests/program.h
+++ b/tests/program.h
@@ -17,7 +17,7 @@
 class Program {
  public:
   Program(const std::filesystem::path& config, const std::string& discovery,
-          std::vector<std::string> arguments = {}) {
+          std::vector<std::string> arguments = {}, const char* program = RELAY_PROGRAM) {
     int ends[2];
     REQUIRE(pipe(ends) == 0);
     pid_ = fork();
@@ -27,10 +27,10 @@
       close(ends[1]);
       setenv("EDGE_CONFIG", config.c_str(), 1);
       setenv("EDGE_DISCOVERY", discovery.c_str(), 1);
-      std::vector<char*> line = {const_cast<char*>(RELAY_PROGRAM)};
+      std::vector<char*> line = {const_cast<char*>(program)};
       for (std::string& argument : arguments) line.push_back(argument.data());
       line.push_back(nullptr);
-      execv(RELAY_PROGRAM, line.data());
+      execv(program, line.data());
       _exit(127);
     }
     close(ends[1]);
