--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -26,7 +26,9 @@
 constexpr std::size_t kBlock = 512;
 
 void PutNumber(std::string& record, std::uint64_t number) {
-  for (int i = 0; i < 8; ++i) record += static_cast<char>(number >> (8 * i) & 255U);
+  char bytes[8];
+  for (int i = 0; i < 8; ++i) bytes[i] = static_cast<char>(number >> (8 * i) & 255U);
+  record.append(bytes, sizeof(bytes));
 }
 
 void PutText(std::string& record, const std::string& text) {
@@ -34,6 +36,10 @@
   record += text;
 }
 
+constexpr std::size_t kNumberBytes = 8;
+std::size_t TextBytes(const std::string& text) { return kNumberBytes + text.size(); }
+std::size_t BeginBytes(const std::string& id) { return 1 + TextBytes(id); }
+
 class Reader {
  public:
   explicit Reader(const std::string& record) : record_(record) {}
@@ -153,24 +159,49 @@
   return it == numbers_.end() ? nullptr : &entries_.at(it->second);
 }
 
-// What its records take when they are written anew, and what may follow.
+// What its records take when they are written anew, and what may follow. Reckoned, not written: it is asked
+// for with every message.
 std::size_t Journal::CostOf(const JournalEntry& e) {
-  std::size_t bytes = kFollowBytes + TakenRecord(e).size() + kHeadBytes;
+  std::size_t bytes = kFollowBytes + kHeadBytes + BeginBytes(e.id) + 2 * kNumberBytes;
+  for (const std::string* text : {&e.message_class, &e.tenant, &e.key, &e.body}) bytes += TextBytes(*text);
   for (std::size_t i = 0; i < e.attempts.size(); ++i) bytes += AttemptCost(e, i);
   return bytes;
 }
 
 std::size_t Journal::AttemptCost(const JournalEntry& e, std::size_t attempt) {
-  return AttemptRecord(e.id, e.attempts[attempt]).size() + NeverRanRecord(e.id, attempt).size() +
-         2 * kHeadBytes;
+  const JournalAttempt& a = e.attempts[attempt];
+  const std::size_t attempted = BeginBytes(e.id) + TextBytes(a.endpoint) + TextBytes(a.zone) + kNumberBytes;
+  const std::size_t never_ran = BeginBytes(e.id) + kNumberBytes;
+  return attempted + never_ran + 2 * kHeadBytes;
 }
 
 bool Journal::HasRoom(std::size_t bytes, double part) const {
   return static_cast<double>(kept_bytes_ + bytes) <= part * static_cast<double>(disk_bytes_);
 }
 
-// Brings the table up to date; false if the record makes no sense. Records of a message that is not known
-// are passed over: its end was written before.
+// ---- the table: what the records say
+// -----------------------------------------------------------------------
+
+void Journal::Insert(JournalEntry&& entry) {
+  kept_bytes_ += CostOf(entry);
+  numbers_[entry.id] = ++last_;
+  entries_.emplace(last_, std::move(entry));
+}
+
+void Journal::AddAttempt(JournalEntry& entry, JournalAttempt&& attempt) {
+  entry.attempts.push_back(std::move(attempt));
+  kept_bytes_ += AttemptCost(entry, entry.attempts.size() - 1);
+}
+
+void Journal::Erase(const JournalEntry& entry) {
+  kept_bytes_ -= CostOf(entry);
+  const auto number = numbers_.find(entry.id);
+  entries_.erase(number->second);
+  numbers_.erase(number);
+}
+
+// One record that was read; false if it makes no sense. Records of a message that is not known are passed
+// over: its end was written before.
 bool Journal::Apply(const std::string& record) {
   Reader reader(record);
   const auto type = static_cast<Type>(reader.Byte());
@@ -182,9 +213,7 @@
     e.destination = static_cast<std::int64_t>(reader.Number());
     e.deadline = static_cast<std::int64_t>(reader.Number());
     if (reader.failed() || numbers_.count(id) > 0) return false;
-    kept_bytes_ += CostOf(e);
-    numbers_[id] = ++last_;
-    entries_.emplace(last_, std::move(e));
+    Insert(std::move(e));
     return true;
   }
   JournalEntry* entry = Find(id);
@@ -193,10 +222,7 @@
     a.endpoint = reader.Text();
     a.zone = reader.Text();
     a.sent_at = static_cast<std::int64_t>(reader.Number());
-    if (entry != nullptr && !reader.failed()) {
-      entry->attempts.push_back(std::move(a));
-      kept_bytes_ += AttemptCost(*entry, entry->attempts.size() - 1);
-    }
+    if (entry != nullptr && !reader.failed()) AddAttempt(*entry, std::move(a));
   } else if (type == Type::kNeverRan) {
     const std::uint64_t attempt = reader.Number();
     if (entry != nullptr && !reader.failed() && attempt < entry->attempts.size())
@@ -205,34 +231,55 @@
     const std::string notice = reader.Text();
     if (entry != nullptr && !reader.failed()) entry->notice = notice;
   } else if (type == Type::kEnd) {
-    if (entry != nullptr && !reader.failed()) {
-      kept_bytes_ -= CostOf(*entry);
-      entries_.erase(numbers_.at(id));
-      numbers_.erase(id);
-    }
+    if (entry != nullptr && !reader.failed()) Erase(*entry);
   } else {
     return false;
   }
   return !reader.failed();
 }
 
+// ---- what is written
+// ---------------------------------------------------------------------------------------
+
 bool Journal::TakeOn(const JournalEntry& entry) {
   if (numbers_.count(entry.id) > 0 || !HasRoom(CostOf(entry), kTakenPart)) return false;
-  return Write(TakenRecord(entry));
+  if (!Write(TakenRecord(entry))) return false;
+  JournalEntry taken = entry;
+  taken.attempts.clear();  // these have records of their own
+  taken.notice.clear();
+  Insert(std::move(taken));
+  return true;
 }
 
 bool Journal::Attempt(const std::string& id, const JournalAttempt& attempt) {
-  return Find(id) != nullptr && HasRoom(kFollowBytes, kKeptPart) && Write(AttemptRecord(id, attempt));
+  JournalEntry* entry = Find(id);
+  if (entry == nullptr || !HasRoom(kFollowBytes, kKeptPart) || !Write(AttemptRecord(id, attempt)))
+    return false;
+  JournalAttempt made = attempt;
+  made.may_have_run = true;
+  AddAttempt(*entry, std::move(made));
+  return true;
 }
 
 bool Journal::NeverRan(const std::string& id, std::size_t attempt) {
-  return Find(id) != nullptr && Write(NeverRanRecord(id, attempt));
+  JournalEntry* entry = Find(id);
+  if (entry == nullptr || !Write(NeverRanRecord(id, attempt))) return false;
+  if (attempt < entry->attempts.size()) entry->attempts[attempt].may_have_run = false;
+  return true;
 }
 
-bool Journal::End(const std::string& id) { return Find(id) != nullptr && Write(Begin(Type::kEnd, id)); }
+bool Journal::End(const std::string& id) {
+  const JournalEntry* entry = Find(id);
+  if (entry == nullptr || !Write(Begin(Type::kEnd, id))) return false;
+  Erase(*entry);
+  return true;
+}
 
 bool Journal::EndWith(const std::string& id, const std::string& notice) {
-  return Find(id) != nullptr && Write(EndWithRecord(id, notice));
+  JournalEntry* entry = Find(id);
+  if (entry == nullptr || !Write(EndWithRecord(id, notice))) return false;
+  entry->notice = notice;
+  return true;
 }
 
 bool Journal::Write(const std::string& record) {
@@ -248,7 +295,6 @@
     return false;
   }
   file_bytes_ += bytes.size();
-  Apply(record);
   return true;
 }
 
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -53,6 +53,9 @@
   bool HasRoom(std::size_t bytes, double part) const;
   JournalEntry* Find(const std::string& id);
   void Recover();
+  void Insert(JournalEntry&& entry);
+  void AddAttempt(JournalEntry& entry, JournalAttempt&& attempt);
+  void Erase(const JournalEntry& entry);
   bool Apply(const std::string& record);
   bool Write(const std::string& record);
   bool Compact();
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -56,15 +56,14 @@
 
 EventLoop::TimerId EventLoop::At(Seconds when, std::function<void()> due) {
   const TimerId id = ++last_timer_;
-  timers_.emplace(std::make_pair(when, id), std::move(due));
-  due_[id] = when;
+  due_[id] = timers_.emplace(std::make_pair(when, id), std::move(due)).first;
   return id;
 }
 
 void EventLoop::Cancel(TimerId& timer) {
   const auto it = due_.find(std::exchange(timer, 0));
   if (it == due_.end()) return;
-  timers_.erase({it->second, it->first});
+  timers_.erase(it->second);
   due_.erase(it);
 }
 
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -54,8 +55,9 @@
   int epoll_;
   bool stopped_ = false;
   TimerId last_timer_ = 0;
-  std::map<std::pair<Seconds, TimerId>, std::function<void()>> timers_;
-  std::map<TimerId, Seconds> due_;
+  using Timers = std::map<std::pair<Seconds, TimerId>, std::function<void()>>;
+  Timers timers_;
+  std::unordered_map<TimerId, Timers::iterator> due_;
   std::vector<std::shared_ptr<void>> retired_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,10 +8,12 @@
 namespace opalroute::net {
 namespace {
 
+// Of ASCII letters: a header's name has no others, and a locale has no say (RFC 9110, 5.1).
+char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+
 bool SameText(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-           return std::tolower(static_cast<unsigned char>(x)) == std::tolower(static_cast<unsigned char>(y));
-         });
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return Lower(x) == Lower(y); });
 }
 
 bool IsTokenChar(char c) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -114,6 +114,7 @@
   }
 
   void Rest() {
+    place_.lines.splice(place_.lines.begin(), place_.lines, at_);
     rests_since_ = client_.loop_.Now();
     SetTimer(client_.bounds_.idle_time);
   }
@@ -198,7 +199,7 @@
       Drop(line);
       continue;
     }
-    place.lines.splice(place.lines.begin(), place.lines, free);
+    place.lines.splice(place.lines.end(), place.lines, free);
     Call& call = *place.waiting.front();
     place.waiting.pop_front();
     End(call);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -82,7 +82,7 @@
   using Lines = std::list<std::unique_ptr<Line>>;
   struct Place {  // all that goes to one peer
     sockaddr_in address{};
-    Lines lines;  // the one used last at the front
+    Lines lines;  // idle ones first, the one used last at the front; then busy ones, so that none is searched
     std::list<Call*> waiting;
     int connecting = 0;
   };
--- a/src/net/ring_buffer.cpp
+++ b/src/net/ring_buffer.cpp
@@ -5,13 +5,39 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
+#include <vector>
 
 namespace opalroute::net {
 
 namespace {
 constexpr std::size_t kFirstCapacity = 4096;  // of a ring that holds something: a usual message fits
+constexpr std::size_t kMostSpare = 64;        // blocks of it kept for the next ring, 256 kB
+
+// Rings fill and empty with every message, and the allocator is slow at this size
+// (docs/measurements/capacity.md).
+std::vector<std::unique_ptr<char[]>>& Spare() {
+  thread_local std::vector<std::unique_ptr<char[]>> spare;
+  return spare;
+}
+
+std::unique_ptr<char[]> TakeBlock(std::size_t capacity) {
+  auto& spare = Spare();
+  if (capacity != kFirstCapacity || spare.empty()) return std::unique_ptr<char[]>(new char[capacity]);
+  std::unique_ptr<char[]> block = std::move(spare.back());
+  spare.pop_back();
+  return block;
+}
+
+void GiveBack(std::unique_ptr<char[]> block, std::size_t capacity) {
+  if (capacity == kFirstCapacity && Spare().size() < kMostSpare) Spare().push_back(std::move(block));
+}
 }  // namespace
 
+RingBuffer::~RingBuffer() {
+  if (bytes_) GiveBack(std::move(bytes_), capacity_);
+}
+
 std::string_view RingBuffer::Front() const {
   return {bytes_.get() + begin_, std::min(size_, capacity_ - begin_)};
 }
@@ -22,7 +48,7 @@
   if (size_ > 0) {
     begin_ = (begin_ + count) % capacity_;
   } else {
-    bytes_.reset();
+    if (bytes_) GiveBack(std::move(bytes_), capacity_);
     begin_ = capacity_ = 0;
   }
 }
@@ -30,10 +56,11 @@
 void RingBuffer::Reserve(std::size_t capacity) {
   capacity = std::min(capacity, most_);
   if (capacity <= capacity_) return;
-  auto bytes = std::make_unique<char[]>(capacity);
+  auto bytes = TakeBlock(capacity);
   const std::string_view front = Front();
   if (!front.empty()) std::memcpy(bytes.get(), front.data(), front.size());
   if (size_ > front.size()) std::memcpy(bytes.get() + front.size(), bytes_.get(), size_ - front.size());
+  if (bytes_) GiveBack(std::move(bytes_), capacity_);
   bytes_ = std::move(bytes);
   capacity_ = capacity;
   begin_ = 0;
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -12,6 +12,9 @@
 class RingBuffer {
  public:
   explicit RingBuffer(std::size_t most) : most_(most) {}
+  ~RingBuffer();
+  RingBuffer(const RingBuffer&) = delete;
+  RingBuffer& operator=(const RingBuffer&) = delete;
 
   std::size_t most() const { return most_; }
   std::size_t size() const { return size_; }
