--- a/lab/report/plot.cpp
+++ b/lab/report/plot.cpp
@@ -45,10 +45,10 @@
 
 std::string Script(const Plot& plot, const std::string& name, const std::string& output) {
   std::ostringstream s;
-  s << "set terminal svg size 640,320 dynamic font 'sans-serif,13' name '" << name << "'\n"
+  s << "set terminal svg size 520,300 dynamic font 'sans-serif,14' name '" << name << "'\n"
     << "set output " << Quoted(output) << "\nset encoding utf8\n"
     << "set border 3 lc rgb '#777777'\nset tics nomirror\nset grid ytics lc rgb '#dddddd'\n"
-    << "set key outside bottom center horizontal\nset yrange [0:*]\n"
+    << "set key outside bottom center horizontal\nset xrange [0:*]\nset yrange [0:*]\n"
     << "set xlabel " << Quoted(plot.x_label) << "\nset ylabel " << Quoted(plot.y_label) << '\n';
   if (!plot.y2_label.empty())
     s << "set border 11\nset y2tics nomirror\nset y2range [0:*]\nset y2label " << Quoted(plot.y2_label)
--- a/lab/report/report.cpp
+++ b/lab/report/report.cpp
@@ -31,7 +31,8 @@
 
 std::vector<std::pair<double, double>> Points(const json& values) {
   std::vector<std::pair<double, double>> points;
-  for (std::size_t i = 0; i < values.size(); ++i) points.emplace_back(i + 0.5, values[i].get<double>());
+  for (std::size_t i = 0; i < values.size(); ++i)
+    if (!values[i].is_null()) points.emplace_back(i + 0.5, values[i].get<double>());
   return points;
 }
 std::vector<std::pair<double, double>> Points(const json& xs, const json& ys, double scale) {
--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -115,7 +115,8 @@
     all["seconds"]["calls"].push_back(s.calls);
     all["seconds"]["full"].push_back(s.full);
     all["seconds"]["watched_calls"].push_back(s.watched_calls);
-    all["seconds"]["watched_capacity"].push_back(s.watched_capacity);
+    all["seconds"]["watched_capacity"].push_back(
+        s.watched_capacity < 0 ? nlohmann::ordered_json() : nlohmann::ordered_json(s.watched_capacity));
   }
   all["watched_partner"] = partners.empty() ? 0 : partners[static_cast<std::size_t>(watched)].number;
   all["partners"] = nlohmann::json::array();
