--- a/lab/sockets/ledger.h
+++ b/lab/sockets/ledger.h
@@ -60,6 +60,7 @@
     bool taken_on = false, served = false, over = false, withdrawn = false;
   };
   Handing* Find(std::uint64_t id) { return id >= 1 && id <= handings_.size() ? &handings_[id - 1] : nullptr; }
+  bool MayComeAgain(Seconds now, const Handing& handing) const;
   void End(Seconds now, std::uint64_t id, Handing& handing, Auditor::End end);
 
   const World& world_;
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -133,6 +133,17 @@
   CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 2);
 }
 
+TEST_CASE("lab: a delivered message may come again after a kill, but no payment") {
+  for (const int message_class : {0, 2}) {  // idempotent, at most once
+    Books b;
+    const std::uint64_t id = b.ledger.HandIn(0, 0, b.ledger.Ask({0, message_class, 0}));
+    b.ledger.TakenOn(0, id);
+    b.ledger.Over(0.2, id, b.ledger.Arrived(0.1, 0, id, 1), Outcome::kServed);
+    CHECK(b.ledger.Arrived(2, 0, id, 1) == Ledger::kVoid);
+    CHECK(b.auditor.Count(BreachKind::kAfterEnd) == (message_class == 2 ? 1 : 0));
+  }
+}
+
 TEST_CASE("lab: a message handed back by notice comes again") {
   Books b;
   double advised = 0;
