One piece for what simulation and sockets both did; capacity uses the relay's process

Need: a review of the change found logic written twice. Change: a call's arrival at a lane, the count of outcomes, 'never ran', a run's end and the draws stand once and serve both ways to play; three stand-ins share their table of sessions; capacity starts its relay by RelayProcess instead of a second copy of it; raw::Listen builds on net's; SIGKILL after SIGTERM is decided in one place; the ledger's excuse is a function of its own; dead code is gone. A scratch folder goes with its run, however that ends, and capacity says so when there is no relay program.

--- a/lab/capacity/capacity.cpp
+++ b/lab/capacity/capacity.cpp
@@ -3,15 +3,12 @@
 #include <sched.h>
 #include <signal.h>
 #include <sys/mman.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
-#include <cmath>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <thread>
 #include <utility>
@@ -23,6 +20,7 @@
 #include "lab/sockets/process.h"
 #include "lab/sockets/registry.h"
 #include "lab/sockets/relay_config.h"
+#include "lab/sockets/relay_process.h"
 #include "net/address.h"
 
 namespace opalroute::lab {
@@ -35,7 +33,6 @@
 constexpr double kWarmUp = 1;  // seconds, not counted
 constexpr int kManyDestinations = 20000;
 constexpr long kTransactions = 4000;
-constexpr double kToReady = 15;
 
 void PinTo(int core) {
   cpu_set_t cores;
@@ -53,8 +50,7 @@
     const pid_t parent = getpid();
     pid_ = fork();
     if (pid_ == 0) {
-      prctl(PR_SET_PDEATHSIG, SIGKILL);
-      if (getppid() != parent) _exit(126);
+      EndWithParent(parent);
       PinTo(core);
       play();
       _exit(1);
@@ -108,90 +104,70 @@
 }
 
 // The platform in a thread, the relay as a process on its core.
-class RelayUnderTest : private Registry::Owner {
+class RelayUnderTest : private Registry::Owner, private RelayProcess::Owner {
  public:
   RelayUnderTest(const CapacityOptions& options, int destinations, std::uint16_t endpoint_port)
-      : scenario_(ScenarioWith(destinations)), world_(scenario_, 1), loop_(clock_) {
-    registry_ = std::make_unique<Registry>(
-        loop_, world_, 1,
-        [endpoint_port](EndpointId id, int) {
-          sockaddr_in address = LoopbackOf(id);
-          address.sin_port = endpoint_port;
-          return net::FormatAddress(address);
-        },
-        static_cast<Registry::Owner&>(*this));
-    const std::string state = options.folder + "/state";
-    std::filesystem::remove_all(state);
-    std::filesystem::create_directories(state);
-    const int probe = raw::Listen(*net::ParseAddress("127.0.0.1:0"));
-    address_ = net::BoundAddress(probe);
-    close(probe);
-    nlohmann::json config = {{"name", "n0"},
-                             {"listen", net::FormatAddress(address_)},
-                             {"discovery", net::FormatAddress(registry_->address(0))},
-                             {"seed", "1"},
-                             {"limits", {{"sockets", 4096}, {"disk_mb", 200}}},
-                             {"known", nlohmann::json::parse(registry_->WholeList(0))},
-                             {"settings", SettingsJson(scenario_, 0)}};
-    config["state"] = state;
-    const std::string file = options.folder + "/config.json";
-    std::ofstream(file) << config.dump() << '\n';
+      : scenario_(ScenarioWith(destinations)),
+        world_(scenario_, 1),
+        loop_(clock_),
+        registry_(
+            loop_, world_, 1,
+            [endpoint_port](EndpointId id, int) {
+              sockaddr_in address = LoopbackOf(id);
+              address.sin_port = endpoint_port;
+              return net::FormatAddress(address);
+            },
+            *this) {
+    RelayProcess::Plan plan;
+    plan.program = options.program;
+    plan.arguments = {"--log-level", "warn"};
+    plan.folder = options.folder + "/relay";
+    std::filesystem::remove_all(plan.folder);
+    plan.config = [this](const std::string& listen) -> nlohmann::json {
+      return {{"name", "n0"},
+              {"listen", listen},
+              {"discovery", net::FormatAddress(registry_.address(0))},
+              {"seed", "1"},
+              {"limits", {{"sockets", 4096}, {"disk_mb", 200}}},
+              {"known", nlohmann::json::parse(registry_.WholeList(0))},
+              {"settings", SettingsJson(scenario_, 0)}};
+    };
+    relay_ =
+        std::make_unique<RelayProcess>(loop_, 0, std::move(plan), static_cast<RelayProcess::Owner&>(*this));
     PinTo(kMeasuredCore);  // which the process inherits
-    process_ = std::make_unique<Process>(options.program, std::vector<std::string>{"--log-level", "warn"},
-                                         std::map<std::string, std::string>{{"EDGE_CONFIG", file}},
-                                         options.folder + "/log");
+    relay_->Start();
+    while (!relay_->ready()) {
+      relay_->Poll();
+      loop_.RunOnce(0.01);
+    }
     PinTo(kDriverCore);
     platform_ = std::thread([this] {
       PinTo(kPlatformCore);
       while (!ends_) loop_.RunOnce(0.05);
     });
-    WaitReady();
   }
   ~RelayUnderTest() override {
-    process_.reset();
     ends_ = true;
     if (platform_.joinable()) platform_.join();
   }
 
-  const sockaddr_in& address() const { return address_; }
-  ProcessSample Sample() const { return process_->Sample(); }
+  sockaddr_in address() const { return relay_->address(); }
+  ProcessSample Sample() const { return relay_->Sample().value_or(ProcessSample{}); }
 
  private:
   void OnTold(int, EndpointId, Listing) override {}
   void OnNotice(const std::string&, bool, Seconds) override {}
-
-  void WaitReady() {
-    const double until = raw::Now() + kToReady;
-    while (raw::Now() < until) {
-      if (process_->Ended())
-        throw std::runtime_error("the relay ended with " + *process_->Ended() + ":\n" + process_->LastLog());
-      if (IsReady()) return;
-      usleep(20000);
-    }
-    throw std::runtime_error("the relay was not ready in time:\n" + process_->LastLog());
-  }
-  bool IsReady() const {
-    int fd = -1;
-    try {
-      fd = raw::Connect(address_);
-    } catch (const std::exception&) { return false; }
-    std::string answer;
-    raw::WriteAll(fd, "GET /health/ready HTTP/1.1\r\nHost: lab\r\n\r\n");
-    for (int i = 0; i < 50 && raw::WholeMessage(answer) == 0; ++i) {
-      usleep(2000);
-      if (!raw::ReadAll(fd, answer)) break;
-    }
-    close(fd);
-    return answer.compare(0, 12, "HTTP/1.1 200") == 0;
+  void OnReady(int) override {}
+  void OnCrash(int, const std::string& how) override {
+    throw std::runtime_error("the relay did not come up: " + how + "; its log says:\n" + relay_->LastLog());
   }
 
   const Scenario scenario_;
   World world_;
   const net::SystemClock clock_;
   net::EventLoop loop_;
-  std::unique_ptr<Registry> registry_;
-  sockaddr_in address_{};
-  std::unique_ptr<Process> process_;
+  Registry registry_;
+  std::unique_ptr<RelayProcess> relay_;
   std::atomic<bool> ends_{false};
   std::thread platform_;
 };
--- a/lab/capacity/capacity.h
+++ b/lab/capacity/capacity.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <functional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
--- a/lab/capacity/raw.cpp
+++ b/lab/capacity/raw.cpp
@@ -10,9 +10,9 @@
 #include <cstdlib>
 #include <system_error>
 
-namespace opalroute::lab::raw {
+#include "net/listener.h"
 
-std::size_t BodyAt(std::string_view message) { return message.find("\r\n\r\n") + 4; }
+namespace opalroute::lab::raw {
 
 std::size_t WholeMessage(std::string_view bytes) {
   const std::size_t end = bytes.find("\r\n\r\n");
@@ -36,12 +36,7 @@
 }  // namespace
 
 int Listen(const sockaddr_in& at) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (fd < 0 || bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) != 0 ||
-      listen(fd, SOMAXCONN) != 0)
-    Fail("listen");
+  const int fd = net::OpenListener(at);
   NoDelay(fd);  // accepted sockets inherit it
   return fd;
 }
--- a/lab/capacity/raw.h
+++ b/lab/capacity/raw.h
@@ -13,8 +13,6 @@
 
 // The length of the first whole message in these bytes, head and body; 0: it is not whole yet.
 std::size_t WholeMessage(std::string_view bytes);
-// Where its body begins. Only of a whole message.
-std::size_t BodyAt(std::string_view message);
 
 // Throw std::system_error.
 int Listen(const sockaddr_in& at);          // non-blocking
--- a/lab/lane_model.h
+++ b/lab/lane_model.h
@@ -6,9 +6,9 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <pcg_random.hpp>
 #include <vector>
 
+#include "lab/draw.h"
 #include "opalroute/rules.h"
 
 namespace opalroute::lab {
@@ -74,7 +74,7 @@
  private:
   const LaneOutage* At(Seconds now) const;
   std::optional<Seconds> OpenedAt(Seconds now) const;
-  double Draw() { return static_cast<double>(random_()) * 0x1p-32; }
+  double Draw() { return DrawUnit(random_); }
   bool AboveLimit(Seconds now, double share);
   Seconds WaitToTell(Seconds now, const LaneOutage* shut);
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -102,13 +102,34 @@
 
 volatile std::sig_atomic_t g_interrupted = 0;
 
-// The relay's program stands beside this one.
-std::string RelayBeside() {
+// The relay's program: the one that was named, or that beside this one.
+std::string RelayProgram(const std::string& named) {
   std::error_code error;
   const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe", error);
-  return (self.parent_path() / "opalroute").string();
+  const std::string program = named.empty() ? (self.parent_path() / "opalroute").string() : named;
+  if (access(program.c_str(), X_OK) != 0)
+    throw std::runtime_error("there is no relay program at '" + program + "' (see --relay)");
+  return program;
 }
 
+// For what nobody keeps. It goes with the run, however that ends.
+class ScratchFolder {
+ public:
+  ScratchFolder()
+      : path_((std::filesystem::temp_directory_path() / ("opalroute-lab-" + std::to_string(getpid())))
+                  .string()) {}
+  ~ScratchFolder() {
+    std::error_code error;
+    std::filesystem::remove_all(path_, error);
+  }
+  ScratchFolder(const ScratchFolder&) = delete;
+  ScratchFolder& operator=(const ScratchFolder&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+};
+
 struct SocketOrder {
   bool on = false;
   std::string program, arguments;
@@ -123,22 +144,16 @@
   RunResult result;
   if (sockets.on) {
     SocketOptions options;
-    options.program = sockets.program.empty() ? RelayBeside() : sockets.program;
-    if (access(options.program.c_str(), X_OK) != 0)
-      throw std::runtime_error("there is no relay program at '" + options.program + "' (see --relay)");
+    options.program = RelayProgram(sockets.program);
     options.relay_arguments = CLI::detail::split_up(sockets.arguments);
-    const bool keeps = !out.empty();
-    options.folder =
-        keeps ? out + "/relays"
-              : (std::filesystem::temp_directory_path() / ("opalroute-lab-" + std::to_string(getpid())))
-                    .string();
+    const ScratchFolder scratch;
+    options.folder = out.empty() ? scratch.path() : out + "/relays";
     options.progress = progress;
     options.interrupted = [] { return g_interrupted != 0; };
     std::signal(SIGINT, [](int) { g_interrupted = 1; });
     std::signal(SIGTERM, [](int) { g_interrupted = 1; });
     std::signal(SIGPIPE, SIG_IGN);
     result = PlayOnSockets(scenario, seed, options);
-    if (!keeps) std::filesystem::remove_all(options.folder);
   } else {
     result = Simulation(scenario, seed).Run(progress);
   }
@@ -239,12 +254,11 @@
 }
 
 int Capacity(CapacityOptions options) {
-  if (options.program.empty()) options.program = RelayBeside();
-  options.folder =
-      (std::filesystem::temp_directory_path() / ("opalroute-capacity-" + std::to_string(getpid()))).string();
+  options.program = RelayProgram(options.program);
+  const ScratchFolder scratch;
+  options.folder = scratch.path();
   std::signal(SIGPIPE, SIG_IGN);
   const CapacityResult r = MeasureCapacity(options);
-  std::filesystem::remove_all(options.folder);
   const auto median = [](const std::vector<Throughput>& all, double Throughput::*field) {
     std::vector<double> values;
     for (const Throughput& one : all) values.push_back(one.*field);
--- a/lab/partner.cpp
+++ b/lab/partner.cpp
@@ -33,11 +33,11 @@
     net::RingBuffer& in = connection.in();
     while (timer_ == 0 && !in.empty()) {
       in.Consume(parser_.Take(in.Front()));
-      if (parser_.failed()) return partner_.Drop(*this);
+      if (parser_.failed()) return partner_.sessions_.Drop(*this);
       if (parser_.done()) Answer();
     }
   }
-  void OnEnd(net::Connection&, net::Connection::End) override { partner_.Drop(*this); }
+  void OnEnd(net::Connection&, net::Connection::End) override { partner_.sessions_.Drop(*this); }
 
  private:
   void Answer() {
@@ -71,33 +71,19 @@
 };
 
 Partner::Partner(net::EventLoop& loop, const PartnerSettings& settings, int endpoints, int relays)
-    : loop_(loop), model_(settings), relays_(relays) {
+    : loop_(loop), model_(settings), relays_(relays), sessions_(loop) {
   for (int endpoint = 0; endpoint < endpoints; ++endpoint)
     for (int relay = 0; relay < relays; ++relay)
       listeners_.push_back(std::make_unique<net::Listener>(loop, *net::ParseAddress("127.0.0.1:0"),
                                                            [this, relay](int fd) { Accept(fd, relay); }));
 }
 
-Partner::~Partner() {
-  for (const auto& [key, session] : sessions_) session->Shut();
-}
+Partner::~Partner() = default;
 
 sockaddr_in Partner::Address(int endpoint, int relay) const {
   return listeners_[static_cast<std::size_t>(endpoint * relays_ + relay)]->address();
 }
 
-void Partner::Accept(int fd, int relay) {
-  auto session = std::make_unique<Session>(*this, relay);
-  Session* const key = session.get();
-  if (session->Open(fd)) sessions_.emplace(key, std::move(session));
-}
-
-void Partner::Drop(Session& session) {
-  const auto it = sessions_.find(&session);
-  if (it == sessions_.end()) return;
-  session.Shut();
-  loop_.Retire(std::move(it->second));
-  sessions_.erase(it);
-}
+void Partner::Accept(int fd, int relay) { sessions_.Adopt(std::make_unique<Session>(*this, relay), fd); }
 
 }  // namespace opalroute::lab
--- a/lab/partner.h
+++ b/lab/partner.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/partner_model.h"
+#include "lab/sessions.h"
 #include "net/connection.h"
 #include "net/listener.h"
 
@@ -27,13 +28,12 @@
  private:
   class Session;
   void Accept(int fd, int relay);
-  void Drop(Session& session);
 
   net::EventLoop& loop_;
   PartnerModel model_;
   const int relays_;
   std::map<std::string, Seconds> delivered_;
-  std::map<Session*, std::unique_ptr<Session>> sessions_;
+  Sessions<Session> sessions_;
   std::vector<std::unique_ptr<net::Listener>> listeners_;  // by endpoint, then by relay
 };
 
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -1,5 +1,6 @@
 #include "lab/scenario.h"
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <set>
@@ -337,6 +338,13 @@
   }
 }
 
+Seconds EndOf(const Scenario& s) {
+  constexpr Seconds kRunsOn = 3;
+  Seconds longest = 0;
+  for (const ClassPlan& c : s.classes) longest = std::max(longest, c.rules.deadline);
+  return s.lasts + longest + kRunsOn;
+}
+
 Scenario LoadScenario(const std::string& path) { return ReadScenario(ReadScenarioFile(path)); }
 
 void SetByPath(json& file, const std::string& assignment) {
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -7,15 +7,12 @@
 #include <string>
 #include <vector>
 
+#include "lab/draw.h"
 #include "lab/lane_model.h"
 #include "opalroute/rules.h"
 
 namespace opalroute::lab {
 
-struct Range {
-  double least = 0, most = 0;
-};
-
 struct Trouble {
   TroubleKind kind{};
   std::string name;
@@ -98,6 +95,9 @@
   std::vector<RelayFault> relay_faults;
 };
 
+// When a run of it ends at the latest: its arrivals, the longest deadline, and some seconds for what is late.
+Seconds EndOf(const Scenario& scenario);
+
 // Throws config::Faults, one line a fault.
 Scenario ReadScenario(const nlohmann::json& json);
 // Throws config::FieldError if there is no such file, or no JSON in it.
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -5,6 +5,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include "lab/call.h"
+
 namespace opalroute::lab {
 
 namespace {
@@ -14,11 +16,6 @@
 constexpr Seconds kAnswerTime = 0.4;  // that a client gives a relay
 constexpr Seconds kFullAdvice = 0.5;  // what a relay without room tells its clients
 constexpr Seconds kAfterReady = 1.5;  // after a restart what was overdue may be answered until then
-constexpr Seconds kRunsOn = 3;        // after the last message's time is up
-
-bool NeverRan(Outcome o) {
-  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kNotSent;
-}
 
 Outcome OutcomeOf(LaneModel::Fate fate) {
   switch (fate) {
@@ -89,9 +86,7 @@
   }
   for (std::size_t i = 0; i < s_.pool_changes.size(); ++i) At(s_.pool_changes[i].at, {Kind::kChange, 0, i});
   for (std::size_t i = 0; i < s_.relay_faults.size(); ++i) At(s_.relay_faults[i].at, {Kind::kFault, 0, i});
-  Seconds longest = 0;
-  for (const ClassPlan& c : s_.classes) longest = std::max(longest, c.rules.deadline);
-  const Micros ends = ToMicros(s_.lasts + longest + kRunsOn);
+  const Micros ends = ToMicros(EndOf(s_));
   Micros told = 0;
   while (!queue_.empty() && queue_.next() <= ends) {
     const auto event = queue_.Pop();
@@ -273,14 +268,9 @@
 void Simulation::Reach(std::uint64_t number) {
   Call& call = calls_.at(number);
   const PartnerEndpoint& e = world_.endpoint(call.endpoint);
-  LaneModel& lane = world_.lane(e.lane);
-  const bool cold = lane.ColdAt(now()) && !lane.collapsed();
-  call.in_outage = lane.OutAt(now());
-  call.verdict = lane.Take(now());
+  call.in_outage = world_.lane(e.lane).OutAt(now());
+  call.verdict = TakeCall(world_, auditor_, tally_, now(), call.relay, e.lane);
   if (call.probe) call.verdict.wait = 0;  // what answers a probe says 503 at most
-  if (cold) auditor_.ReachedCold(now(), call.relay, e.lane, call.verdict.fell_over);
-  result_.collapses += call.verdict.fell_over ? 1 : 0;
-  if (call.verdict.fate == LaneModel::Fate::kFull) tally_.Full(now());
   if (call.verdict.ran)
     for (const auto& [id, attempt] : call.members) auditor_.Ran(now(), id);
   // One that hangs never comes back: its relay gives it up.
@@ -353,10 +343,7 @@
   a.may_have_run = !NeverRan(outcome);
   --h.out;
   Relay& relay = *relays_[static_cast<std::size_t>(h.relay)];
-  long* const counts[] = {
-      nullptr,         &result_.errors, &result_.full, &result_.timeouts, &result_.unconnected,
-      &result_.resets, nullptr,         nullptr};
-  if (long* count = counts[static_cast<int>(outcome)]) ++*count;
+  tally_.AttemptEnded(outcome);
   auditor_.Over(id, attempt, a.may_have_run);
   const bool delivered = outcome == Outcome::kServed && !h.over;
   if (delivered) {
--- a/lab/simulation.h
+++ b/lab/simulation.h
@@ -105,9 +105,7 @@
   void Strike(const RelayFault& fault, bool forced);
   void BringUp(Relay& relay);
   ListEntry EntryOf(EndpointId endpoint, Listing listing) const;
-  double Draw(const Range& range) {
-    return range.least + (range.most - range.least) * (static_cast<double>(random_()) * 0x1p-32);
-  }
+  double Draw(const Range& range) { return DrawFrom(range, random_); }
 
   const Scenario s_;
   pcg32 random_;
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "lab/call.h"
 #include "lab/sockets/loopback.h"
 #include "net/address.h"
 #include "net/connection.h"
@@ -71,7 +72,7 @@
     for (const Member& member : std::exchange(awaited_, {}))
       if (member.attempt != Ledger::kVoid) all_.ledger_.Over(all_.now(), member.id, member.attempt, outcome);
     if (phase_ == Phase::kComing && !std::exchange(left_, true)) return connection_->Close();
-    if (phase_ != Phase::kComing) all_.Drop(*this);
+    if (phase_ != Phase::kComing) all_.sessions_.Drop(*this);
   }
 
  private:
@@ -132,17 +133,13 @@
     const bool all_void = !probe_ && std::all_of(members_.begin(), members_.end(), [](const Member& member) {
       return member.attempt == Ledger::kVoid;
     });
-    if (all_void) return left_ ? all_.Drop(*this) : Answer({});
-    LaneModel& lane = Lane();
-    const bool cold = lane.ColdAt(now) && !lane.collapsed();
-    const LaneModel::Verdict verdict = lane.Take(now);
-    if (cold) all_.auditor_.ReachedCold(now, relay_, LaneNumber(), verdict.fell_over);
-    if (verdict.fell_over) ++all_.tally_.result().collapses;
-    if (verdict.fate == LaneModel::Fate::kFull) all_.tally_.Full(now);
+    if (all_void) return left_ ? all_.sessions_.Drop(*this) : Answer({});
+    const LaneModel::Verdict verdict =
+        TakeCall(all_.world_, all_.auditor_, all_.tally_, now, relay_, LaneNumber());
     if (verdict.ran)
       for (const Member& member : members_)
         if (member.attempt != Ledger::kVoid) all_.ledger_.Ran(now, member.id);
-    if (left_) return all_.Drop(*this);
+    if (left_) return all_.sessions_.Drop(*this);
     if (verdict.fate == LaneModel::Fate::kHangs) return;  // until its relay gives up
     After(verdict.takes + all_.WayOf(endpoint_, relay_), [this, verdict] { Answer(verdict); });
   }
@@ -198,14 +195,19 @@
 
 Endpoints::Endpoints(net::EventLoop& loop, World& world, Auditor& auditor, Ledger& ledger, Tally& tally,
                      std::uint64_t seed)
-    : loop_(loop), world_(world), auditor_(auditor), ledger_(ledger), tally_(tally), start_(loop.Now()) {
+    : loop_(loop),
+      world_(world),
+      auditor_(auditor),
+      ledger_(ledger),
+      tally_(tally),
+      start_(loop.Now()),
+      sessions_(loop) {
   pcg32 random(seed, 3);
   const Scenario& s = world.scenario();
   for (int relay = 0; relay < s.relays; ++relay) {
     one_way_.emplace_back();
     for (std::size_t zone = 0; zone < s.zones.size(); ++zone)
-      one_way_.back().push_back(s.one_way.least + (s.one_way.most - s.one_way.least) *
-                                                      (static_cast<double>(random()) * 0x1p-32));
+      one_way_.back().push_back(DrawFrom(s.one_way, random));
     listeners_.push_back(std::make_unique<net::Listener>(loop, ListenOnLoopback(),
                                                          [this, relay](int fd) { Accept(fd, relay); }));
   }
@@ -225,9 +227,7 @@
   }
 }
 
-Endpoints::~Endpoints() {
-  for (const auto& [key, session] : sessions_) session->Shut();
-}
+Endpoints::~Endpoints() = default;
 
 void Endpoints::OpenDoor(Door& door) {
   const int relay = door.relay;
@@ -265,26 +265,16 @@
                      (endpoint >= gone_.size() || !gone_[endpoint]) &&
                      !world_.lane(world_.endpoint(endpoint).lane).collapsed();
   if (!there) return Reset(fd);
-  auto session = std::make_unique<Session>(*this, endpoint, relay);
-  Session* const key = session.get();
-  if (session->Open(fd)) sessions_.emplace(key, std::move(session));
+  sessions_.Adopt(std::make_unique<Session>(*this, endpoint, relay), fd);
 }
 
 void Endpoints::Remove(EndpointId endpoint) {
   if (gone_.size() <= endpoint) gone_.resize(endpoint + 1);
   gone_[endpoint] = true;
   std::vector<Session*> ending;
-  for (const auto& [key, session] : sessions_)
+  for (const auto& [key, session] : sessions_.all())
     if (session->endpoint() == endpoint) ending.push_back(key);
   for (Session* session : ending) session->End(Outcome::kReset);
 }
 
-void Endpoints::Drop(Session& session) {
-  const auto it = sessions_.find(&session);
-  if (it == sessions_.end()) return;
-  session.Shut();
-  loop_.Retire(std::move(it->second));
-  sessions_.erase(it);
-}
-
 }  // namespace opalroute::lab
--- a/lab/sockets/endpoints.h
+++ b/lab/sockets/endpoints.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "lab/auditor.h"
+#include "lab/sessions.h"
 #include "lab/sockets/ledger.h"
 #include "lab/world.h"
 #include "net/listener.h"
@@ -28,7 +29,7 @@
   std::string AddressOf(EndpointId endpoint, int relay) const;
   // Its machine is there no more: its connections end, and new ones are reset.
   void Remove(EndpointId endpoint);
-  std::size_t connections() const { return sessions_.size(); }
+  std::size_t connections() const { return sessions_.all().size(); }
 
  private:
   class Session;
@@ -43,7 +44,6 @@
   Seconds WayOf(EndpointId endpoint, int relay) const;
   void Accept(int fd, int relay);
   void OpenDoor(Door& door);
-  void Drop(Session& session);
 
   net::EventLoop& loop_;
   World& world_;
@@ -55,7 +55,7 @@
   std::vector<std::unique_ptr<net::Listener>> listeners_;
   std::map<std::pair<EndpointId, int>, Door> doors_;
   std::vector<bool> gone_;  // by endpoint
-  std::map<Session*, std::unique_ptr<Session>> sessions_;
+  Sessions<Session> sessions_;
 };
 
 }  // namespace opalroute::lab
--- a/lab/sockets/front.cpp
+++ b/lab/sockets/front.cpp
@@ -1,7 +1,6 @@
 #include "lab/sockets/front.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -156,8 +155,7 @@
 
 void Front::ComeAgain(std::size_t client, Seconds advice) {
   if (tries_[client]++ >= s_.clients.retries) return;
-  const double drawn = static_cast<double>(random_()) * 0x1p-32;
-  const Seconds own = s_.clients.wait.least + (s_.clients.wait.most - s_.clients.wait.least) * drawn;
+  const Seconds own = DrawFrom(s_.clients.wait, random_);
   Later(client, advice > 0 ? std::min(advice, s_.settings.longest_wait) : own, "1");
 }
 
--- a/lab/sockets/ledger.cpp
+++ b/lab/sockets/ledger.cpp
@@ -1,8 +1,9 @@
 #include "lab/sockets/ledger.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "lab/call.h"
+
 namespace opalroute::lab {
 
 namespace {
@@ -10,10 +11,6 @@
 // A copy that left before its relay had read the end is no breach: so long after the end it may arrive.
 constexpr Seconds kOnTheWay = 0.25;
 
-bool NeverRan(Outcome outcome) {
-  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
-}
-
 }  // namespace
 
 std::size_t Ledger::Ask(const Arrival& arrival) {
@@ -80,21 +77,21 @@
   return c.effect == Effect::kSafe || now <= handing.ended + c.key_window;
 }
 
-int Ledger::Arrived(Seconds now, int relay, std::uint64_t id, EndpointId endpoint) {
-  Handing* handing = Find(id);
+// Whether what comes after the end is the relay's right.
+bool Ledger::MayArriveLate(Seconds now, int relay, const Handing& handing) const {
   // Nobody has told the relay that the client withdrew.
+  if (handing.withdrawn || MayComeAgain(now, handing)) return true;
   const auto deaf = deaf_until_.find(relay);
-  const Seconds heard =
-      deaf == deaf_until_.end() || handing == nullptr || handing->ended > deaf->second ? 0 : deaf->second;
-  const bool excused = handing != nullptr && handing->over &&
-                       (handing->withdrawn || MayComeAgain(now, *handing) ||
-                        now <= std::max(handing->ended, heard) + kOnTheWay);
-  if (excused) return kVoid;
-  if (handing == nullptr || handing->over) {
-    auditor_.Sent(now, relay, id, endpoint);  // which reports it
-    return kVoid;
-  }
-  auditor_.Sent(now, relay, id, endpoint);
+  const bool heard_late = deaf != deaf_until_.end() && handing.ended <= deaf->second;
+  return now <= (heard_late ? deaf->second : handing.ended) + kOnTheWay;
+}
+
+int Ledger::Arrived(Seconds now, int relay, std::uint64_t id, EndpointId endpoint) {
+  Handing* handing = Find(id);
+  const bool over = handing == nullptr || handing->over;
+  if (over && handing != nullptr && MayArriveLate(now, relay, *handing)) return kVoid;
+  auditor_.Sent(now, relay, id, endpoint);  // which reports it where it is over
+  if (over) return kVoid;
   ++tally_.result().attempts;
   return handing->attempts++;
 }
@@ -103,11 +100,7 @@
 
 void Ledger::Over(Seconds now, std::uint64_t id, int attempt, Outcome outcome) {
   Handing& handing = *Find(id);
-  RunResult& result = tally_.result();
-  if (outcome == Outcome::kError) ++result.errors;
-  if (outcome == Outcome::kFull) ++result.full;
-  if (outcome == Outcome::kReset) ++result.resets;
-  if (outcome == Outcome::kTimeout) ++result.timeouts;
+  tally_.AttemptEnded(outcome);
   auditor_.Over(id, attempt, !NeverRan(outcome));
   if (outcome != Outcome::kServed) return;
   handing.served = true;
--- a/lab/sockets/ledger.h
+++ b/lab/sockets/ledger.h
@@ -45,7 +45,6 @@
   // An attempt's answer was written, or its connection has ended before.
   void Over(Seconds now, std::uint64_t id, int attempt, Outcome outcome);
 
-  std::uint64_t handed_in() const { return handings_.size(); }
   std::size_t open() const { return open_; }  // handed in and not over
 
  private:
@@ -60,6 +59,7 @@
     bool taken_on = false, served = false, over = false, withdrawn = false;
   };
   Handing* Find(std::uint64_t id) { return id >= 1 && id <= handings_.size() ? &handings_[id - 1] : nullptr; }
+  bool MayArriveLate(Seconds now, int relay, const Handing& handing) const;
   bool MayComeAgain(Seconds now, const Handing& handing) const;
   void End(Seconds now, std::uint64_t id, Handing& handing, Auditor::End end);
 
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -1,7 +1,5 @@
 #include "lab/sockets/play.h"
 
-#include <signal.h>
-
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
@@ -29,7 +27,7 @@
 constexpr Seconds kFrontSees = 1;      // after this the front notices that a relay has died
 constexpr Seconds kFrontDrains = 0.3;  // after SIGTERM new connections come for so long
 constexpr Seconds kAfterReady = 1.5;   // what was overdue at a restart may be answered until then
-constexpr Seconds kRunsOn = 3;         // after the last message's time is up
+constexpr Seconds kToReady = 5;        // a new start may take so long before what it holds is overdue
 constexpr Seconds kToEnd = 5;          // for all relays, once the run is over
 
 Auditor::Rules RulesOf(const Scenario& scenario) {
@@ -83,11 +81,9 @@
       loop_.At(start_ + change.at, [this, change] { ChangeList(change); });
     for (const RelayFault& fault : s_.relay_faults)
       loop_.At(start_ + fault.at, [this, fault] { Strike(fault); });
-    Seconds longest = 0;
-    for (const ClassPlan& c : s_.classes) longest = std::max(longest, c.rules.deadline);
     Beat(loop_.Now());
     Second(0);
-    const Seconds ends = start_ + s_.lasts + longest + kRunsOn;
+    const Seconds ends = start_ + EndOf(s_);
     while (loop_.Now() < ends && !AllDone()) {
       loop_.RunOnce(kBeat);
       if (options_.interrupted && options_.interrupted()) throw Interrupted();
@@ -154,8 +150,8 @@
     RelayProcess& relay = Of(fault.relay);
     if (!relay.running()) return;
     const int number = fault.relay;
-    // From the signal until it is ready again nothing is overdue; OnReady says until when.
-    const Seconds away = fault.down + (fault.kind == RelayFault::Kind::kStop ? kKilledAfter : 0) + kToReady;
+    const Seconds comes =
+        fault.down + (fault.kind == RelayFault::Kind::kStop ? RelayProcess::kKilledAfter : 0);
     switch (fault.kind) {
       case RelayFault::Kind::kReload:
         return relay.Reload();
@@ -167,26 +163,24 @@
         return;
       case RelayFault::Kind::kStop:
         relay.Terminate();
-        auditor_.RelayDied(number, now() + away);
         loop_.At(loop_.Now() + kFrontDrains, [this, number] { front_.SetAlive(number, false); });
-        loop_.At(loop_.Now() + kKilledAfter, [this, number] { Of(number).Kill(); });
         break;
       case RelayFault::Kind::kKill:
         relay.Kill();
-        auditor_.RelayDied(number, now() + away);
         loop_.At(loop_.Now() + std::min(kFrontSees, fault.down), [this, number] {
           if (!Of(number).ready()) front_.SetAlive(number, false);
         });
         break;
     }
-    const Seconds comes = fault.down + (fault.kind == RelayFault::Kind::kStop ? kKilledAfter : 0);
+    // From the signal until it is ready again nothing is overdue; OnReady says until when.
+    auditor_.RelayDied(number, now() + comes + kToReady);
     loop_.At(loop_.Now() + comes, [this, number] { Of(number).Start(); });
   }
 
   void ChangeList(const PoolChange& change) {
     const auto changes = world_.Change(
         change, [this](EndpointId id) { return registry_.ListingOf(id); },
-        [this] { return static_cast<double>(random_()) * 0x1p-32; });
+        [this] { return DrawUnit(random_); });
     for (const World::ListChange& c : changes) {
       if (c.listing == Listing::kInService)
         auditor_.Listed(c.endpoint, world_.endpoint(c.endpoint).destination,
@@ -250,9 +244,6 @@
     return std::move(r);
   }
 
-  static constexpr Seconds kKilledAfter = 3.7;  // SIGKILL follows SIGTERM no sooner (the protocol's figures)
-  static constexpr Seconds kToReady = 5;  // a new start may take so long before what it holds is overdue
-
   const Scenario s_;
   const SocketOptions options_;
   pcg32 random_;
--- a/lab/sockets/process.cpp
+++ b/lab/sockets/process.cpp
@@ -16,6 +16,12 @@
 
 namespace opalroute::lab {
 
+void EndWithParent(pid_t parent) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // A child whose parent ended before this call gets no signal: it looks for itself.
+  if (getppid() != parent) _exit(126);
+}
+
 Process::Process(const std::string& program, const std::vector<std::string>& arguments,
                  const std::map<std::string, std::string>& variables, std::string log)
     : log_(std::move(log)) {
@@ -40,9 +46,7 @@
   if (out < 0) throw std::system_error(errno, std::generic_category(), "the log " + log_);
   pid_ = fork();
   if (pid_ == 0) {
-    // A child whose parent ended before this call gets no signal: it looks for itself.
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (getppid() != parent) _exit(126);
+    EndWithParent(parent);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
     sigset_t none;
--- a/lab/sockets/process.h
+++ b/lab/sockets/process.h
@@ -12,6 +12,10 @@
 
 namespace opalroute::lab {
 
+// For a child, right after the fork: it ends with its parent, however that ends, or at once if it has
+// already.
+void EndWithParent(pid_t parent);
+
 // Of a process that runs, from /proc; its `at` is left at 0.
 ProcessSample SampleOf(pid_t pid);
 
--- a/lab/sockets/registry.cpp
+++ b/lab/sockets/registry.cpp
@@ -58,15 +58,15 @@
     net::RingBuffer& in = connection.in();
     while (!in.empty()) {
       in.Consume(parser_.Take(in.Front()));
-      if (parser_.failed()) return registry_.Drop(*this);
+      if (parser_.failed()) return registry_.sessions_.Drop(*this);
       if (!parser_.done()) continue;
       const net::HttpMessage request = std::move(parser_.message());
       parser_.Reset();
       Answer(request);
     }
-    if (connection.peer_ended()) registry_.Drop(*this);
+    if (connection.peer_ended()) registry_.sessions_.Drop(*this);
   }
-  void OnEnd(net::Connection&, net::Connection::End) override { registry_.Drop(*this); }
+  void OnEnd(net::Connection&, net::Connection::End) override { registry_.sessions_.Drop(*this); }
 
  private:
   void Answer(const net::HttpMessage& request) {
@@ -131,29 +131,17 @@
       random_(seed, 4),
       address_of_(std::move(address_of)),
       owner_(owner),
-      listings_(world.endpoint_count(), Listing::kInService) {
+      listings_(world.endpoint_count(), Listing::kInService),
+      sessions_(loop) {
   for (int relay = 0; relay < world.scenario().relays; ++relay) {
     views_.push_back({0, 0, listings_});
-    listeners_.push_back(
-        std::make_unique<net::Listener>(loop, *net::ParseAddress("127.0.0.1:0"), [this, relay](int fd) {
-          auto session = std::make_unique<Session>(*this, relay);
-          Session* const key = session.get();
-          if (session->Open(fd)) sessions_.emplace(key, std::move(session));
-        }));
+    listeners_.push_back(std::make_unique<net::Listener>(
+        loop, *net::ParseAddress("127.0.0.1:0"),
+        [this, relay](int fd) { sessions_.Adopt(std::make_unique<Session>(*this, relay), fd); }));
   }
 }
 
-Registry::~Registry() {
-  for (const auto& [key, session] : sessions_) session->Shut();
-}
-
-void Registry::Drop(Session& session) {
-  const auto it = sessions_.find(&session);
-  if (it == sessions_.end()) return;
-  session.Shut();
-  loop_.Retire(std::move(it->second));
-  sessions_.erase(it);
-}
+Registry::~Registry() = default;
 
 std::string Registry::Row(EndpointId id, Listing listing, int relay) const {
   const PartnerEndpoint& e = world_.endpoint(id);
@@ -192,11 +180,10 @@
   listings_[endpoint - 1] = listing;
   changes_.push_back({endpoint, listing});
   const std::size_t number = changes_.size();
-  const Range& late = world_.scenario().list_late;
   for (int relay = 0; relay < static_cast<int>(views_.size()); ++relay) {
     View& view = views_[static_cast<std::size_t>(relay)];
-    const double drawn = late.least + (late.most - late.least) * (static_cast<double>(random_()) * 0x1p-32);
-    view.last_due = std::max(view.last_due, loop_.Now() + drawn);  // changes come in their order
+    const Seconds late = DrawFrom(world_.scenario().list_late, random_);
+    view.last_due = std::max(view.last_due, loop_.Now() + late);  // changes come in their order
     loop_.At(view.last_due, [this, relay, number] { Advance(relay, number); });
   }
 }
@@ -212,7 +199,7 @@
     view.listings[changes_[i].endpoint - 1] = changes_[i].listing;
   }
   std::vector<Session*> watching;  // one that turns out to be dead drops out meanwhile
-  for (const auto& [key, session] : sessions_)
+  for (const auto& [key, session] : sessions_.all())
     if (session->relay() == relay && session->watches()) watching.push_back(key);
   for (Session* session : watching) session->Tell(since);
 }
--- a/lab/sockets/registry.h
+++ b/lab/sockets/registry.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/sessions.h"
 #include "lab/world.h"
 #include "net/listener.h"
 
@@ -49,7 +50,6 @@
   void Advance(int relay, std::size_t change);
   std::string Row(EndpointId endpoint, Listing listing, int relay) const;
   std::string ChangesSince(int relay, std::size_t since) const;
-  void Drop(Session& session);
 
   net::EventLoop& loop_;
   const World& world_;
@@ -60,7 +60,7 @@
   std::vector<Change> changes_;    // generation: their number, plus one
   std::vector<View> views_;        // by relay
   std::vector<std::unique_ptr<net::Listener>> listeners_;
-  std::map<Session*, std::unique_ptr<Session>> sessions_;
+  Sessions<Session> sessions_;
 };
 
 }  // namespace opalroute::lab
--- a/lab/sockets/relay_process.cpp
+++ b/lab/sockets/relay_process.cpp
@@ -14,9 +14,8 @@
 
 namespace {
 
-constexpr net::Seconds kToReady = 15;       // a relay that is not ready by then is not started
-constexpr net::Seconds kKilledAfter = 3.7;  // SIGKILL follows SIGTERM so much later (the protocol's figures)
-constexpr int kPorts = 5;                   // tried, where somebody else has taken the one chosen
+constexpr net::Seconds kToReady = 15;  // a relay that is not ready by then is not started
+constexpr int kPorts = 5;              // tried, where somebody else has taken the one chosen
 
 net::ClientBounds Bounds() {
   net::ClientBounds bounds;
@@ -69,6 +68,7 @@
 }
 
 void RelayProcess::Start() {
+  Kill();
   tries_ = 0;
   if (address_.sin_port == 0) address_ = FreeAddress();
   Launch();
--- a/lab/sockets/relay_process.h
+++ b/lab/sockets/relay_process.h
@@ -19,6 +19,8 @@
 
 class RelayProcess {
  public:
+  static constexpr net::Seconds kKilledAfter = 3.7;  // SIGKILL follows SIGTERM (the protocol's figures)
+
   class Owner {
    public:
     virtual ~Owner() = default;
@@ -35,7 +37,7 @@
   RelayProcess(net::EventLoop& loop, int number, Plan plan, Owner& owner);
   ~RelayProcess();
 
-  void Start();      // with the configuration as it is by now
+  void Start();      // with the configuration as it is by now; one that still runs is killed
   void Poll();       // to be called every few milliseconds
   void Terminate();  // SIGTERM, and SIGKILL where it takes too long
   void Kill();       // SIGKILL
@@ -45,7 +47,6 @@
 
   bool running() const { return process_ != nullptr; }
   bool ready() const { return ready_; }
-  bool frozen() const { return frozen_; }
   sockaddr_in address() const { return address_; }
   std::optional<ProcessSample> Sample() const;
   std::string LastLog() const;
--- a/lab/tally.cpp
+++ b/lab/tally.cpp
@@ -70,6 +70,14 @@
 
 void Tally::Full(Seconds now) { ++SecondAt(now).full; }
 
+void Tally::AttemptEnded(Outcome outcome) {
+  if (outcome == Outcome::kError) ++result_.errors;
+  if (outcome == Outcome::kFull) ++result_.full;
+  if (outcome == Outcome::kTimeout) ++result_.timeouts;
+  if (outcome == Outcome::kConnectFailed) ++result_.unconnected;
+  if (outcome == Outcome::kReset) ++result_.resets;
+}
+
 void Tally::Sample(Seconds now) {
   SecondAt(now).watched_capacity =
       world_.CapacityOf(static_cast<std::size_t>(result_.watched), std::max(0.0, now));
--- a/lab/tally.h
+++ b/lab/tally.h
@@ -20,6 +20,7 @@
   void Failed(Seconds now);
   void Call(Seconds now, DestinationId destination);
   void Full(Seconds now);
+  void AttemptEnded(Outcome outcome);
   void Sample(Seconds now);  // once a second: what the watched partner could do
 
   RunResult& result() { return result_; }
--- a/lab/traffic.h
+++ b/lab/traffic.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <pcg_random.hpp>
 #include <vector>
 
 #include "lab/scenario.h"
@@ -28,7 +27,7 @@
   double RateAt(Seconds now) const;
   std::size_t DrawPartner(Seconds now);
   int DrawClass();
-  double Unit() { return static_cast<double>(random_()) * 0x1p-32; }
+  double Unit() { return DrawUnit(random_); }
 
   const World& world_;
   const Scenario& s_;
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -7,8 +7,6 @@
 
 namespace opalroute::lab {
 
-double World::Draw(const Range& range) { return range.least + (range.most - range.least) * Unit(); }
-
 World::World(const Scenario& scenario, std::uint64_t seed) : scenario_(scenario), random_(seed, 1) {
   const Scenario::Partners& plan = scenario.partners;
   const auto count = static_cast<std::size_t>(plan.count);
--- a/lab/world.h
+++ b/lab/world.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <pcg_random.hpp>
 #include <vector>
 
 #include "lab/lane_model.h"
@@ -64,8 +63,8 @@
   std::vector<LaneOutage> OutagesOf(std::size_t partner, int zone) const;
   std::uint32_t AddLane(const LaneSettings& settings, std::vector<LaneOutage> outages);
   EndpointId AddEndpoint(PartnerEndpoint endpoint);
-  double Draw(const Range& range);
-  double Unit() { return static_cast<double>(random_()) * 0x1p-32; }
+  double Draw(const Range& range) { return DrawFrom(range, random_); }
+  double Unit() { return DrawUnit(random_); }
 
   const Scenario scenario_;
   pcg32 random_;
--- a/src/net/ring_buffer.cpp
+++ b/src/net/ring_buffer.cpp
@@ -30,13 +30,11 @@
 }
 
 void GiveBack(std::unique_ptr<char[]> block, std::size_t capacity) {
-  if (capacity == kFirstCapacity && Spare().size() < kMostSpare) Spare().push_back(std::move(block));
+  if (block && capacity == kFirstCapacity && Spare().size() < kMostSpare) Spare().push_back(std::move(block));
 }
 }  // namespace
 
-RingBuffer::~RingBuffer() {
-  if (bytes_) GiveBack(std::move(bytes_), capacity_);
-}
+RingBuffer::~RingBuffer() { GiveBack(std::move(bytes_), capacity_); }
 
 std::string_view RingBuffer::Front() const {
   return {bytes_.get() + begin_, std::min(size_, capacity_ - begin_)};
@@ -48,7 +46,7 @@
   if (size_ > 0) {
     begin_ = (begin_ + count) % capacity_;
   } else {
-    if (bytes_) GiveBack(std::move(bytes_), capacity_);
+    GiveBack(std::move(bytes_), capacity_);
     begin_ = capacity_ = 0;
   }
 }
@@ -60,7 +58,7 @@
   const std::string_view front = Front();
   if (!front.empty()) std::memcpy(bytes.get(), front.data(), front.size());
   if (size_ > front.size()) std::memcpy(bytes.get() + front.size(), bytes_.get(), size_ - front.size());
-  if (bytes_) GiveBack(std::move(bytes_), capacity_);
+  GiveBack(std::move(bytes_), capacity_);
   bytes_ = std::move(bytes);
   capacity_ = capacity;
   begin_ = 0;
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -303,7 +303,6 @@
     Program lab(folder / "none", "",
                 {"run", folder / "day.json", "--sockets", "--out", out, "--relay", RELAY_PROGRAM},
                 LAB_PROGRAM);
-    const std::string log = out + "/relays/relay1/log";
     std::string address;
     for (int i = 0; i < 1000 && address.empty(); ++i) {
       usleep(10000);
