--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -31,6 +31,8 @@
       return "foreign_endpoint";
     case BreachKind::kPushedOver:
       return "pushed_over";
+    case BreachKind::kOutOfTurn:
+      return "out_of_turn";
   }
   return "";
 }
@@ -63,7 +65,7 @@
 void Auditor::Taken(Seconds now, int relay, std::uint64_t message, std::uint64_t origin, int message_class,
                     DestinationId destination, Seconds deadline) {
   const auto [it, fresh] = messages_.try_emplace(
-      message, Message{relay, message_class, origin, destination, std::max(now, deadline), false, {}});
+      message, Message{relay, message_class, origin, destination, std::max(now, deadline), false, {}, 0});
   if (!fresh) {  // restored by the next process
     it->second.relay = relay;
     return;
@@ -118,12 +120,40 @@
   }
 }
 
+void Auditor::InOrder(std::uint64_t message, std::uint64_t key) {
+  Message& m = messages_.at(message);
+  m.key = key;
+  key_lines_[{m.relay, key}].messages.push_back(message);
+}
+
+// The first of its key that is not over with nothing out has the turn.
+void Auditor::CheckTurn(Seconds now, int relay, std::uint64_t id, const Message& m, EndpointId endpoint) {
+  const auto it = key_lines_.find({relay, m.key});
+  if (m.key == 0 || it == key_lines_.end()) return;  // restored: taken before the relay's start
+  KeyLine& line = it->second;
+  while (!line.messages.empty() && messages_.count(line.messages.front()) == 0) line.messages.pop_front();
+  const bool known = std::find(line.messages.begin(), line.messages.end(), id) != line.messages.end();
+  if (!known) return;
+  const bool rests = line.rested_by != id && now < line.rest_until - 1e-9;
+  if (line.messages.front() != id || rests) Report(BreachKind::kOutOfTurn, now, relay, id, endpoint);
+}
+
+void Auditor::MayStillRun(Seconds now, std::uint64_t message) {
+  const auto it = messages_.find(message);
+  if (it == messages_.end() || it->second.key == 0) return;
+  const auto line = key_lines_.find({it->second.relay, it->second.key});
+  if (line == key_lines_.end()) return;
+  line->second.rest_until = now + rules_.key_rest;
+  line->second.rested_by = message;
+}
+
 void Auditor::Sent(Seconds now, int relay, std::uint64_t id, EndpointId endpoint) {
   const auto it = messages_.find(id);
   if (it == messages_.end() || it->second.over)
     return Report(BreachKind::kAfterEnd, now, relay, id, endpoint);
   Message& m = it->second;
   CheckRepeat(now, relay, id, m, endpoint);
+  CheckTurn(now, relay, id, m, endpoint);
   m.attempts.push_back({now, endpoint});
   const auto place = places_.find(endpoint);
   if (place == places_.end() || place->second.destination != m.destination)
@@ -216,6 +246,8 @@
   for (auto it = waits_.begin(); it != waits_.end();)
     it = it->first.first == relay ? waits_.erase(it) : std::next(it);
   for (auto& [lane, relays] : informed_now_) relays.erase(relay);
+  for (auto it = key_lines_.begin(); it != key_lines_.end();)
+    it = it->first.first == relay ? key_lines_.erase(it) : std::next(it);
 }
 
 }  // namespace opalroute::lab
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -26,7 +26,8 @@
   kInWait,         // sent to a lane in a wait that this relay was told
   kDrained,        // sent to an endpoint longer after its drain was told than allowed
   kForeign,        // sent to an endpoint of another destination, or one that no list has named
-  kPushedOver      // a returning lane fell over, two thirds of it by relays that had seen the outage
+  kPushedOver,     // a returning lane fell over, two thirds of it by relays that had seen the outage
+  kOutOfTurn       // sent though an earlier one of its key was not over, or the key had to rest
 };
 const char* NameOf(BreachKind kind);
 
@@ -47,6 +48,7 @@
     Seconds wait_grace = 0;  // calls that arrive so soon after a wait was told had left before
     double informed_part = 2.0 / 3;
     Seconds overload_for = 2;
+    Seconds key_rest = 0;  // after an attempt that may still run, for the messages behind it
   };
   Auditor(const Rules& rules, std::vector<MessageClass> classes)
       : rules_(rules), classes_(std::move(classes)) {}
@@ -54,12 +56,16 @@
   // `origin`: the same for all handings-in of one message of a client.
   void Taken(Seconds now, int relay, std::uint64_t message, std::uint64_t origin, int message_class,
              DestinationId destination, Seconds deadline);
+  // A message that was just taken goes in turn with the others of this key at its relay.
+  void InOrder(std::uint64_t message, std::uint64_t key);
   // Withdrawn: the client got no answer in time, and nothing done under this id counts any more.
   enum class End { kDelivered, kRefused, kFailed, kWithdrawn };
   void Ended(Seconds now, std::uint64_t message, End end);
   void Sent(Seconds now, int relay, std::uint64_t message, EndpointId endpoint);
   // An attempt is over: whether it may have run. `attempt` counts as it was sent, from 0.
   void Over(std::uint64_t message, int attempt, bool may_have_run);
+  // One of its attempts ended in a way that leaves it open whether it still runs.
+  void MayStillRun(Seconds now, std::uint64_t message);
   void Ran(Seconds now, std::uint64_t message);  // at the partner
   // The time of each message is checked once it is past.
   void Until(Seconds now);
@@ -91,6 +97,12 @@
     Seconds deadline;
     bool over = false;
     std::vector<Attempt> attempts;
+    std::uint64_t key = 0;  // of its order; 0: none
+  };
+  struct KeyLine {
+    std::deque<std::uint64_t> messages;  // as they were taken
+    Seconds rest_until = 0;
+    std::uint64_t rested_by = 0;
   };
   struct Place {
     DestinationId destination;
@@ -103,6 +115,7 @@
   };
   void Report(BreachKind kind, Seconds now, int relay, std::uint64_t message, EndpointId endpoint);
   void CheckRepeat(Seconds now, int relay, std::uint64_t id, const Message& message, EndpointId endpoint);
+  void CheckTurn(Seconds now, int relay, std::uint64_t id, const Message& message, EndpointId endpoint);
   void ForgetIfDone(std::uint64_t id);
   std::string TraceOf(const Message& message) const;
 
@@ -119,6 +132,7 @@
   std::map<std::uint64_t, std::set<int>> informed_now_;
   std::map<std::uint64_t, std::deque<Weighed>> cold_;
   std::map<int, Seconds> excused_;
+  std::map<std::pair<int, std::uint64_t>, KeyLine> key_lines_;  // by relay and key
   std::vector<Breach> breaches_;
 };
 
--- a/lab/experiments/learning_experiment.cpp
+++ b/lab/experiments/learning_experiment.cpp
@@ -91,6 +91,11 @@
       : run_(run), folder_(std::move(folder)), draw_(run.seed), loop_(clock_) {
     start_ = clock_.Now();
     PartnerSettings partner;
+    partner.lane.limit = 30;
+    partner.lane.window = 1;
+    partner.lane.latency_cv = 0.3;
+    partner.lane.refused_count = false;
+    partner.lane.overload_slack = 0;  // no chance is allowed for
     partner.seed = run.seed;
     if (run.outage) {
       partner.shut_from = start_ + kShutAfter;
--- a/lab/lane_model.cpp
+++ b/lab/lane_model.cpp
@@ -20,21 +20,19 @@
   return nullptr;
 }
 
+bool LaneModel::IsOutage(const LaneOutage& outage) {
+  return outage.kind != TroubleKind::kSlow && (!ByChance(outage.kind) || outage.chance > kMostlyFails);
+}
+
 bool LaneModel::OutAt(Seconds now) const {
-  if (collapsed_) return true;
   const LaneOutage* outage = At(now);
-  if (outage == nullptr || outage->kind == TroubleKind::kSlow) return false;
-  const bool by_chance = outage->kind == TroubleKind::kErrors || outage->kind == TroubleKind::kReset;
-  return !by_chance || outage->chance > kMostlyFails;
+  return collapsed_ || (outage != nullptr && IsOutage(*outage));
 }
 
 std::optional<Seconds> LaneModel::OpenedAt(Seconds now) const {
   std::optional<Seconds> opened;
-  for (const LaneOutage& outage : outages_) {
-    const bool by_chance = outage.kind == TroubleKind::kErrors || outage.kind == TroubleKind::kReset;
-    const bool counts = outage.kind != TroubleKind::kSlow && (!by_chance || outage.chance > kMostlyFails);
-    if (counts && outage.to <= now && (!opened || outage.to > *opened)) opened = outage.to;
-  }
+  for (const LaneOutage& outage : outages_)
+    if (IsOutage(outage) && outage.to <= now && (!opened || outage.to > *opened)) opened = outage.to;
   return opened;
 }
 
@@ -56,6 +54,27 @@
   return collapsed_ || (outage != nullptr && outage->kind == TroubleKind::kRefuse);
 }
 
+bool LaneModel::VanishedAt(Seconds now) const {
+  const LaneOutage* outage = At(now);
+  return outage != nullptr && outage->kind == TroubleKind::kVanish;
+}
+
+std::optional<Seconds> LaneModel::TakePlace(Seconds now, Seconds takes) {
+  const auto places = static_cast<std::size_t>(std::max(1L, std::lround(s_.capacity * s_.latency)));
+  while (!places_.empty() && *places_.begin() <= now) places_.erase(places_.begin());
+  while (!begins_.empty() && begins_.front() <= now) begins_.pop_front();
+  if (places_.size() < places) {
+    places_.insert(now + takes);
+    return now;
+  }
+  if (begins_.size() >= static_cast<std::size_t>(s_.queue)) return std::nullopt;
+  const Seconds begins = *places_.begin();
+  places_.erase(places_.begin());
+  places_.insert(begins + takes);
+  begins_.push_back(begins);
+  return begins;
+}
+
 // `share` of its capacity that it has at the moment.
 bool LaneModel::AboveLimit(Seconds now, double share) {
   if (s_.limit <= 0) return false;
@@ -95,9 +114,14 @@
     while (weight_.front() <= now - s_.overload_for) weight_.pop_front();
     const double budget = s_.overload_factor * CapacityAt(now) * s_.overload_for;
     // A little slack for chance, as the rule allows.
-    if (static_cast<double>(weight_.size()) > budget + 2 * std::sqrt(budget)) collapsed_ = v.fell_over = true;
+    if (static_cast<double>(weight_.size()) > budget + s_.overload_slack * std::sqrt(budget))
+      collapsed_ = v.fell_over = true;
   }
   const LaneOutage* outage = At(now);
+  if (outage != nullptr && outage->kind == TroubleKind::kVanish) {
+    v.fate = Fate::kHangs;
+    return v;
+  }
   const bool shut = collapsed_ || (outage != nullptr && outage->kind == TroubleKind::kShut);
   if (shut || (outage == nullptr && AboveLimit(now, CapacityAt(now) / s_.capacity))) {
     v.fate = Fate::kFull;
@@ -108,9 +132,20 @@
   const double sigma2 = std::log(1 + s_.latency_cv * s_.latency_cv);
   std::lognormal_distribution<double> latency(std::log(s_.latency) - sigma2 / 2, std::sqrt(sigma2));
   v.takes = latency(random_);
+  if (outage != nullptr && outage->kind == TroubleKind::kSlow) v.takes *= outage->factor;
+  if (s_.queue >= 0) {
+    const Seconds next = places_.empty() ? now : *places_.begin();
+    const auto begins = TakePlace(now, v.takes * s_.capacity / std::max(0.01, CapacityAt(now)));
+    if (!begins) {
+      v.fate = Fate::kFull;
+      v.takes = kRefusalTakes;
+      if (Draw() < s_.tells_wait) v.wait = std::max(0.0, next - now);
+      return v;
+    }
+    v.takes += *begins - now;
+  }
   v.ran = true;
   if (outage == nullptr) return v;
-  if (outage->kind == TroubleKind::kSlow) v.takes *= outage->factor;
   if (outage->kind == TroubleKind::kHang) v.fate = Fate::kHangs;
   const bool strikes = Draw() < outage->chance;
   if (strikes && outage->kind == TroubleKind::kErrors) {
@@ -118,6 +153,7 @@
     v.takes *= 0.2;
   }
   if (strikes && outage->kind == TroubleKind::kReset) v.fate = Fate::kReset;
+  if (strikes && outage->kind == TroubleKind::kSpoilt) v.fate = Fate::kSpoilt;
   return v;
 }
 
--- a/lab/lane_model.h
+++ b/lab/lane_model.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "lab/draw.h"
@@ -19,13 +20,20 @@
   kHang,    // takes calls and answers none
   kReset,   // breaks the connection after the call ran, by chance
   kErrors,  // calls fail after they may have run, by chance
-  kSlow     // takes so many times as long
+  kSlow,    // takes so many times as long
+  kSpoilt,  // calls run, and their answers are no HTTP, by chance
+  kVanish   // its machine is cut off: nothing that is sent to it is answered, nor a new connection
 };
 
+// Strikes each call by chance, rather than all of them.
+constexpr bool ByChance(TroubleKind kind) {
+  return kind == TroubleKind::kErrors || kind == TroubleKind::kReset || kind == TroubleKind::kSpoilt;
+}
+
 struct LaneOutage {
   TroubleKind kind{};
   Seconds from = 0, to = 0;
-  double chance = 1;  // of a call: kReset, kErrors
+  double chance = 1;  // of a call, where it strikes by chance
   double factor = 1;  // kSlow
 };
 
@@ -42,6 +50,10 @@
   Seconds ramp = 13;           // until it is warm
   double overload_factor = 2;  // sent more than this many times what it can do ...
   Seconds overload_for = 2;    // ... for this long while cold, it falls over and stays down
+  double overload_slack = 2;   // standard deviations above that left to chance
+  // Calls that wait for one of its places, of which it has as many as its capacity needs; one that finds no
+  // room is answered 'full'. Below 0: places without end.
+  int queue = -1;
 };
 
 class LaneModel {
@@ -49,7 +61,7 @@
   LaneModel(const LaneSettings& settings, std::vector<LaneOutage> outages, std::uint64_t seed)
       : s_(settings), outages_(std::move(outages)), random_(seed) {}
 
-  enum class Fate { kServed, kFull, kError, kReset, kHangs };
+  enum class Fate { kServed, kFull, kError, kReset, kHangs, kSpoilt };
   struct Verdict {
     Fate fate{};
     Seconds wait = 0;   // told
@@ -60,6 +72,7 @@
   // A call, or a probe, whose last byte has arrived.
   Verdict Take(Seconds now);
   bool RefusesConnections(Seconds now) const;
+  bool VanishedAt(Seconds now) const;
 
   // Calls that it can do at that moment, a second.
   double CapacityAt(Seconds now) const;
@@ -77,6 +90,9 @@
   double Draw() { return DrawUnit(random_); }
   bool AboveLimit(Seconds now, double share);
   Seconds WaitToTell(Seconds now, const LaneOutage* shut);
+  static bool IsOutage(const LaneOutage& outage);
+  // For a call that takes so long: when it begins. None: there is no room in the queue.
+  std::optional<Seconds> TakePlace(Seconds now, Seconds takes);
 
   const LaneSettings s_;
   const std::vector<LaneOutage> outages_;  // by time, apart from one another
@@ -84,7 +100,9 @@
   double tokens_ = 1, count_ = 0;
   Seconds filled_ = 0;
   std::int64_t span_ = 0;
-  std::deque<Seconds> weight_;  // calls while cold, within overload_for
+  std::deque<Seconds> weight_;     // calls while cold, within overload_for
+  std::multiset<Seconds> places_;  // when each is free
+  std::deque<Seconds> begins_;     // of calls that have not begun
   bool collapsed_ = false;
 };
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -4,18 +4,17 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <mutex>
 #include <thread>
 
 #include "config/fields.h"
 #include "lab/capacity/capacity.h"
+#include "lab/experiments/compare.h"
 #include "lab/experiments/experiments.h"
 #include "lab/report/report.h"
 #include "lab/simulation.h"
@@ -37,36 +36,6 @@
   return usage.ru_maxrss / 1024;
 }
 
-// `FILE` or `FILE,key=value,...`, then what --set says.
-Scenario ReadWith(const std::string& what, const std::vector<std::string>& sets) {
-  std::vector<std::string> parts = CLI::detail::split(what, ',');
-  json file = ReadScenarioFile(parts[0]);
-  for (std::size_t i = 1; i < parts.size(); ++i) SetByPath(file, parts[i]);
-  for (const std::string& set : sets) SetByPath(file, set);
-  return ReadScenario(file);
-}
-
-// Runs that share nothing, so many at once. On a terminal it says how far they are.
-std::vector<RunResult> PlayAll(const std::vector<std::pair<const Scenario*, std::uint64_t>>& runs, int jobs) {
-  std::vector<RunResult> results(runs.size());
-  std::atomic<std::size_t> next{0}, done{0};
-  std::mutex printing;
-  const bool shows = isatty(STDERR_FILENO) != 0;
-  const auto work = [&] {
-    for (std::size_t i = next++; i < runs.size(); i = next++) {
-      results[i] = Simulation(*runs[i].first, runs[i].second).Run();
-      const std::lock_guard<std::mutex> lock(printing);
-      ++done;
-      if (shows) std::fprintf(stderr, "\r%zu of %zu runs", done.load(), runs.size());
-    }
-  };
-  std::vector<std::thread> threads;
-  for (int i = 0; i < std::min<int>(jobs, static_cast<int>(runs.size())); ++i) threads.emplace_back(work);
-  for (std::thread& thread : threads) thread.join();
-  if (shows) std::fprintf(stderr, "\r                        \r");
-  return results;
-}
-
 void Print(const RunResult& r) {
   std::printf("%s, seed %llu: worth %.4f, worst ten seconds %.4f\n", r.scenario.c_str(),
               static_cast<unsigned long long>(r.seed), r.Worth(), r.WorstTenSeconds());
@@ -102,11 +71,15 @@
 
 volatile std::sig_atomic_t g_interrupted = 0;
 
+std::string SelfPath() {
+  std::error_code error;
+  return std::filesystem::read_symlink("/proc/self/exe", error).string();
+}
+
 // The relay's program: the one that was named, or that beside this one.
 std::string RelayProgram(const std::string& named) {
-  std::error_code error;
-  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe", error);
-  const std::string program = named.empty() ? (self.parent_path() / "opalroute").string() : named;
+  const std::string program =
+      named.empty() ? (std::filesystem::path(SelfPath()).parent_path() / "opalroute").string() : named;
   if (access(program.c_str(), X_OK) != 0)
     throw std::runtime_error("there is no relay program at '" + program + "' (see --relay)");
   return program;
@@ -163,7 +136,7 @@
 
 int Run(const std::string& what, const std::vector<std::string>& sets, std::uint64_t seed,
         const std::string& out, const SocketOrder& sockets) {
-  const Scenario scenario = ReadWith(what, sets);
+  const Scenario scenario = ReadScenarioWith(what, sets);
   const double began = WallSeconds();
   if (!out.empty()) std::filesystem::create_directories(out);
   const RunResult result = PlayOnce(scenario, seed, sockets, out);
@@ -176,73 +149,6 @@
   return result.Sound() ? 0 : 1;
 }
 
-struct Figure {
-  const char* name;
-  double (*of)(const RunResult&);
-};
-const std::vector<Figure> kFigures = {
-    {"worth", [](const RunResult& r) { return r.Worth(); }},
-    {"worst ten seconds", [](const RunResult& r) { return r.WorstTenSeconds(); }},
-    {"calls", [](const RunResult& r) { return static_cast<double>(r.calls); }},
-    {"calls answered full", [](const RunResult& r) { return static_cast<double>(r.full); }},
-    {"refused", [](const RunResult& r) { return static_cast<double>(r.refused); }},
-    {"p99 s of the first class", [](const RunResult& r) { return r.classes[0].latency.At(0.99); }},
-    {"collapses", [](const RunResult& r) { return static_cast<double>(r.collapses); }},
-    {"breaches", [](const RunResult& r) { return static_cast<double>(r.breaches.size()); }}};
-
-int Compare(const std::string& a, const std::string& b, const std::vector<std::string>& sets, int seeds,
-            int jobs) {
-  const Scenario first = ReadWith(a, sets), second = ReadWith(b, sets);
-  std::vector<std::pair<const Scenario*, std::uint64_t>> runs;
-  for (int seed = 1; seed <= seeds; ++seed) {
-    runs.emplace_back(&first, seed);
-    runs.emplace_back(&second, seed);
-  }
-  const std::vector<RunResult> results = PlayAll(runs, jobs);
-  std::printf("%d seeds, pairwise; B - A with its 95%% interval\n", seeds);
-  std::printf("%-26s %12s %12s %12s %27s\n", "figure", "A", "B", "B - A", "interval");
-  bool breach = false;
-  for (const Figure& figure : kFigures) {
-    std::vector<double> of_a, of_b, differences;
-    for (std::size_t i = 0; i < results.size(); i += 2) {
-      of_a.push_back(figure.of(results[i]));
-      of_b.push_back(figure.of(results[i + 1]));
-      differences.push_back(of_b.back() - of_a.back());
-    }
-    const Interval interval = Bootstrap(differences);
-    std::printf("%-26s %12.4f %12.4f %12.4f %12.4f to %11.4f%s\n", figure.name, Median(of_a), Median(of_b),
-                interval.median, interval.low, interval.high, interval.differs() ? "" : "  no difference");
-  }
-  for (const RunResult& result : results) breach = breach || !result.breaches.empty();
-  return breach ? 1 : 0;
-}
-
-int Sweep(const std::string& what, const std::string& key, const std::vector<std::string>& values, int seeds,
-          int jobs) {
-  std::vector<Scenario> scenarios;
-  for (const std::string& value : values) scenarios.push_back(ReadWith(what, {key + "=" + value}));
-  std::vector<std::pair<const Scenario*, std::uint64_t>> runs;
-  for (const Scenario& scenario : scenarios)
-    for (int seed = 1; seed <= seeds; ++seed) runs.emplace_back(&scenario, seed);
-  const std::vector<RunResult> results = PlayAll(runs, jobs);
-  std::printf("medians of %d seeds\n%-16s", seeds, key.c_str());
-  for (const Figure& figure : kFigures) std::printf(" %24s", figure.name);
-  std::printf("\n");
-  for (std::size_t v = 0; v < values.size(); ++v) {
-    std::printf("%-16s", values[v].c_str());
-    for (const Figure& figure : kFigures) {
-      std::vector<double> all;
-      for (int i = 0; i < seeds; ++i)
-        all.push_back(figure.of(results[v * static_cast<std::size_t>(seeds) + static_cast<std::size_t>(i)]));
-      std::printf(" %24.4f", Median(all));
-    }
-    std::printf("\n");
-  }
-  return std::any_of(results.begin(), results.end(), [](const RunResult& r) { return !r.breaches.empty(); })
-             ? 1
-             : 0;
-}
-
 int Report(const std::vector<std::string>& folders, const std::string& out) {
   std::vector<ReportRun> runs;
   for (const std::string& folder : folders) runs.push_back(ReadRun(folder));
@@ -336,7 +242,7 @@
   std::string what, other, out, key;
   std::vector<std::string> sets, values;
   std::uint64_t seed = 1;
-  int seeds = 20, jobs = static_cast<int>(std::max(1U, std::thread::hardware_concurrency()));
+  int seeds = 20, jobs = 0;
   CLI::App* run = app.add_subcommand(
       "run", "play a scenario once; exit status 1 on a breach or a crash, 3 if the run is void");
   run->add_option("SCENARIO", what, "a file, or FILE,key=value,...")->required();
@@ -348,18 +254,25 @@
   run->add_option("--relay", sockets.program, "the relay's program; else the one beside this");
   run->add_option("--relay-arguments", sockets.arguments, "for it, in one text, like '--log-level warn'");
   CLI::App* compare =
-      app.add_subcommand("compare", "play two scenarios, or one with two settings, on the same seeds");
+      app.add_subcommand("compare", "play two scenarios, settings or builds on the same seeds");
   compare->add_option("A", what, "a file, or FILE,key=value,...")->required();
   compare->add_option("B", other, "the same")->required();
   compare->add_option("--seeds", seeds)->check(CLI::Range(2, 10000));
-  compare->add_option("--jobs", jobs, "runs at once")->check(CLI::Range(1, 256));
   compare->add_option("--set", sets, "for both");
+  std::string build_a, build_b;
+  compare->add_option("--build-a", build_a, "A's build folder; else this program's own");
+  compare->add_option("--build-b", build_b, "B's");
   CLI::App* sweep = app.add_subcommand("sweep", "play a scenario with several values of a key");
   sweep->add_option("SCENARIO", what)->required();
   sweep->add_option("KEY", key)->required();
   sweep->add_option("VALUES", values)->required();
   sweep->add_option("--seeds", seeds)->check(CLI::Range(1, 10000));
-  sweep->add_option("--jobs", jobs)->check(CLI::Range(1, 256));
+  for (CLI::App* many : {compare, sweep}) {
+    many->add_option("--jobs", jobs, "runs at once; else one a core, on sockets one")
+        ->check(CLI::Range(1, 256));
+    many->add_flag("--sockets", sockets.on, "real relay processes, in real time");
+    many->add_option("--relay-arguments", sockets.arguments, "for the relays, in one text");
+  }
   CLI::App* check = app.add_subcommand("check", "read a scenario and print every fault");
   check->add_option("SCENARIO", what)->required();
   std::vector<std::string> folders;
@@ -383,14 +296,21 @@
   CLI11_PARSE(app, argc, argv);
   try {
     if (*run) return Run(what, sets, seed, out, sockets);
-    if (*compare) return Compare(what, other, sets, seeds, jobs);
-    if (*sweep) return Sweep(what, key, values, seeds, jobs);
+    if (*compare || *sweep) {
+      const ScratchFolder scratch;
+      std::filesystem::create_directories(scratch.path());
+      if (jobs == 0)
+        jobs = sockets.on ? 1 : static_cast<int>(std::max(1U, std::thread::hardware_concurrency()));
+      const PlayOrder order{seeds, jobs, sockets.on, sockets.arguments, SelfPath(), scratch.path()};
+      return *compare ? Compare({what, sets, build_a}, {other, sets, build_b}, order)
+                      : Sweep({what, {}, {}}, key, values, order);
+    }
     if (*learning) return LearningTable(seeds);
     if (*snapshot) return SnapshotTable(destinations, rounds);
     if (*cost) return Capacity(capacity);
     if (*report) return Report(folders, page);
     if (*queues) return Queues();
-    ReadWith(what, {});
+    ReadScenarioWith(what, {});
     std::printf("the scenario is sound\n");
     return 0;
   } catch (const opalroute::config::Faults& faults) {
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -172,11 +172,33 @@
     r.Number("deadline_s", c.rules.deadline, 0.01, kDay);
     r.Number("late_share", c.rules.late_share, 0, 1);
     r.Number("worth", c.rules.worth, 0, 1000);
+    r.YesNo("keep_order", c.rules.in_order);
     s.classes.push_back(c);
   });
   if (s.classes.empty()) root.Fault("classes", "must name one at least");
 }
 
+void ReadTenants(Reader& root, Scenario& s) {
+  root.Each("tenants", [&](Reader& r) {
+    TenantPlan t;
+    r.Text("name", t.name);
+    r.Number("share", t.share, 0, 1);
+    r.Number("allowance", t.allowance, 0.01, 1e9);
+    if (t.name.empty()) r.Fault("name", "is missing");
+    if (t.allowance <= 0) r.Fault("allowance", "is missing");
+    s.tenants.push_back(t);
+  });
+  if (s.tenants.empty()) s.tenants = {{"lab", 1, 1e6}};
+}
+
+// Shares of the messages, of what must make up all of them.
+template <typename Plan>
+void CheckShares(Reader& root, const char* key, const std::vector<Plan>& plans) {
+  double sum = 0;
+  for (const Plan& plan : plans) sum += plan.share;
+  if (!plans.empty() && std::abs(sum - 1) > 0.001) root.Fault(key, "must have shares that sum to 1");
+}
+
 void ReadPartners(Reader& root, Scenario& s) {
   root.Object("partners", [&](Reader& r) {
     Scenario::Partners& p = s.partners;
@@ -195,6 +217,8 @@
     r.Span("wait_s", p.wait, 0, 60);
     r.YesNo("refused_count", p.refused_count);
     r.Number("spare", p.spare, 1, 100);
+    r.Whole("queue", p.queue, -1, 1000000);
+    r.Span("connections", p.connections, 0, 100000);
   });
 }
 
@@ -203,6 +227,7 @@
     r.Number("rate", s.load.rate, 0.01, 1e6);
     r.Number("clump_share", s.load.clump_share, 0, 1);
     r.Span("clump_s", s.load.clump, 0.01, 60);
+    r.Whole("order_keys", s.load.order_keys, 0, 1000000);
     r.Each("bursts", [&](Reader& b) {
       Burst burst;
       b.Number("from_s", burst.from, 0, kDay);
@@ -227,7 +252,9 @@
                          {"hang", TroubleKind::kHang},
                          {"reset", TroubleKind::kReset},
                          {"errors", TroubleKind::kErrors},
-                         {"slow", TroubleKind::kSlow}});
+                         {"slow", TroubleKind::kSlow},
+                         {"spoilt", TroubleKind::kSpoilt},
+                         {"vanish", TroubleKind::kVanish}});
     if (const json* kind = r.Find("kind"); kind != nullptr && kind->is_string())
       t.name = kind->get<std::string>();
     r.Number("share", t.share, 0, 1);
@@ -278,6 +305,8 @@
     r.Number("overload_factor", m.overload_factor, 1, 100);
     r.Number("cold_from", m.cold_from, 0.001, 1);
     r.Number("ramp_s", m.ramp_time, 0, 3600);
+    r.Number("over_share_worth", m.over_share_worth, 0, 1);
+    if (r.Has("key_rest_s")) r.Number("key_rest_s", m.key_rest.emplace(), 0, 3600);
     if (r.Has("rating"))
       r.Word<RatingMeaning>("rating", m.rating,
                             {{"none", RatingMeaning::kNone},
@@ -303,6 +332,7 @@
     root.Whole("zones", zones, 1, 16);
     for (int i = 0; i < zones; ++i) s.zones.push_back("z" + std::to_string(i));
     ReadClasses(root, s);
+    ReadTenants(root, s);
     ReadPartners(root, s);
     ReadLoad(root, s);
     root.Span("one_way_s", s.one_way, 0, 10);
@@ -310,15 +340,14 @@
     root.Span("list_late_s", s.list_late, 0, 60);
     ReadSettings(root, s);
     ReadTroubles(root, s);
-    double shares = 0;
-    for (const ClassPlan& c : s.classes) shares += c.share;
-    if (!s.classes.empty() && std::abs(shares - 1) > 0.001)
-      root.Fault("classes", "must have shares that sum to 1");
+    CheckShares(root, "classes", s.classes);
+    CheckShares(root, "tenants", s.tenants);
   }
   faults.Throw();
   s.settings.couriers = s.relays;
   s.settings.kinds = {{false, 1}, {true, s.partners.bundle}};
   for (const ClassPlan& c : s.classes) s.settings.classes.push_back(c.rules);
+  for (const TenantPlan& t : s.tenants) s.settings.tenants.push_back({t.allowance});
   // As the operators' settings: slots for 2.1 times what full load keeps busy, room for 9 s of it.
   const double part = s.load.rate / s.relays;
   if (s.settings.slots == 0)
@@ -347,6 +376,16 @@
 
 Scenario LoadScenario(const std::string& path) { return ReadScenario(ReadScenarioFile(path)); }
 
+Scenario ReadScenarioWith(const std::string& what, const std::vector<std::string>& sets) {
+  std::istringstream parts(what);
+  std::string part;
+  std::getline(parts, part, ',');
+  json file = ReadScenarioFile(part);
+  while (std::getline(parts, part, ',')) SetByPath(file, part);
+  for (const std::string& set : sets) SetByPath(file, set);
+  return ReadScenario(file);
+}
+
 void SetByPath(json& file, const std::string& assignment) {
   const std::size_t equals = assignment.find('=');
   if (equals == std::string::npos || equals == 0)
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -20,7 +20,7 @@
   int partner = -1;  // ... this one
   int zone = -1;     // only endpoints in this zone; -1: all
   Seconds from = 0, lasts = 0;
-  double chance = 1;  // of a call: kErrors, kReset
+  double chance = 1;  // of a call, where it strikes by chance
   double factor = 1;  // kSlow
 };
 
@@ -53,12 +53,19 @@
   double share = 0;  // of the messages
 };
 
+struct TenantPlan {
+  std::string name;
+  double share = 0;      // of the messages
+  double allowance = 0;  // messages a second within its share, to all relays
+};
+
 struct Scenario {
   std::string name = "unnamed";
   Seconds lasts = 30;  // of arrivals; it then runs on until all is answered
   int relays = 2;
   Settings settings;  // of the decision module, but for seed and classes' order
   std::vector<ClassPlan> classes;
+  std::vector<TenantPlan> tenants;  // one at least
   std::vector<std::string> zones;
   struct Partners {
     int count = 10;
@@ -76,12 +83,15 @@
     Range wait{0.3, 1};
     bool refused_count = true;  // refused calls use up the limit
     double spare = 1.4;         // capacity over limit
+    int queue = -1;             // calls that wait for a place, a lane; below 0: places without end
+    Range connections{0, 0};    // that an endpoint takes from all relays, idle ones counted; 0: no limit
   } partners;
   struct Load {
     double rate = 20;        // messages a second to all relays
     double clump_share = 0;  // of the messages come in clumps for one partner
     Range clump{1.3, 3.2};   // a clump's size: seconds of the partner's limit
     std::vector<Burst> bursts;
+    int order_keys = 0;  // a partner: messages of classes kept in order carry one of so many; 0: none
   } load;
   struct Clients {
     int retries = 2;     // after a refusal
@@ -103,6 +113,8 @@
 // Throws config::FieldError if there is no such file, or no JSON in it.
 nlohmann::json ReadScenarioFile(const std::string& path);
 Scenario LoadScenario(const std::string& path);
+// `what`: a file, or FILE,key=value,...; then `sets`, each key=value. Throws as the two above.
+Scenario ReadScenarioWith(const std::string& what, const std::vector<std::string>& sets);
 
 // Puts `value` (JSON, or else a text) at the dotted path of a scenario's JSON, as `--set load.rate=30` does.
 void SetByPath(nlohmann::json& json, const std::string& assignment);
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -13,6 +13,7 @@
 
 constexpr Seconds kStopTime = 3.45;   // a relay ends so long after SIGTERM
 constexpr Seconds kIdleTime = 14;     // a connection is kept so long between calls
+constexpr Seconds kDialTime = 1.5;    // that a relay gives a connection to come up
 constexpr Seconds kAnswerTime = 0.4;  // that a client gives a relay
 constexpr Seconds kFullAdvice = 0.5;  // what a relay without room tells its clients
 constexpr Seconds kAfterReady = 1.5;  // after a restart what was overdue may be answered until then
@@ -27,11 +28,18 @@
       return Outcome::kError;
     case LaneModel::Fate::kReset:
     case LaneModel::Fate::kHangs:
+    case LaneModel::Fate::kSpoilt:
       break;
   }
   return Outcome::kReset;
 }
 
+// A key is a partner's own. Counted from 1.
+std::uint64_t OrderKeyOf(const Arrival& arrival) {
+  return (static_cast<std::uint64_t>(arrival.partner) << 24) + static_cast<std::uint64_t>(arrival.order_key) +
+         1;
+}
+
 }  // namespace
 
 struct Simulation::Relay {
@@ -47,6 +55,7 @@
   struct Idle {
     int count = 0;
     Seconds last = 0;
+    int busy = 0;  // connections that a call is out on
   };
   std::unordered_map<EndpointId, Idle> idle;
   std::vector<Seconds> one_way;  // by zone
@@ -61,6 +70,7 @@
           [&] {
             Auditor::Rules rules;
             rules.overload_for = scenario.settings.overload_for;
+            rules.key_rest = scenario.settings.key_rest.value_or(0);
             return rules;
           }(),
           scenario.settings.classes),
@@ -210,7 +220,7 @@
     } else if (const auto* wake = std::get_if<SetWake>(&action)) {
       At(wake->at, {Kind::kWake, relay.number, wake->label, 0, relay.life});
     } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
-      relay.idle.erase(close->endpoint);
+      relay.idle[close->endpoint].count = 0;
     }
   }
   for (auto& [endpoint, batches] : std::exchange(relay.gathered, {}))
@@ -256,15 +266,41 @@
   if (idle.last + kIdleTime < now()) idle.count = 0;
   const bool kept = idle.count > 0;
   if (kept) --idle.count;
+  const LaneModel& lane = world_.lane(e.lane);
   const bool gone = listings_[endpoint - 1] == Listing::kGone;
-  call.connects = kept || !(gone || world_.lane(e.lane).RefusesConnections(now()));
+  const bool crowded = !kept && e.connections > 0 && ConnectionsTo(endpoint) >= e.connections;
+  call.connects = kept || !(gone || crowded || lane.RefusesConnections(now()) || lane.VanishedAt(now()));
   if (!call.connects) {
-    call.in_outage = world_.lane(e.lane).OutAt(now());
-    return At(now() + 2 * way, {Kind::kBack, relay.number, number});
+    call.in_outage = lane.OutAt(now());
+    const Seconds told = !gone && lane.VanishedAt(now()) ? kDialTime : 2 * way;
+    return At(now() + told, {Kind::kBack, relay.number, number});
   }
+  ++idle.busy;
   At(now() + way + (kept ? 0 : 2 * way + s_.handshake), {Kind::kReach, relay.number, number});
 }
 
+int Simulation::ConnectionsTo(EndpointId endpoint) const {
+  int open = 0;
+  for (const auto& relay : relays_) {
+    const auto it = relay->idle.find(endpoint);
+    if (it == relay->idle.end()) continue;
+    open += it->second.busy + (it->second.last + kIdleTime < now() ? 0 : it->second.count);
+  }
+  return open;
+}
+
+bool Simulation::Awaited(const Call& call) const {
+  return call.probe || std::any_of(call.members.begin(), call.members.end(), [this](const auto& member) {
+           const auto it = handings_.find(member.first);
+           return it != handings_.end() && it->second.attempts[static_cast<std::size_t>(member.second)].out;
+         });
+}
+
+void Simulation::EndConnection(const Call& call) {
+  Relay& relay = *relays_[static_cast<std::size_t>(call.relay)];
+  if (call.connects && relay.up && relay.life == call.life) --relay.idle[call.endpoint].busy;
+}
+
 void Simulation::Reach(std::uint64_t number) {
   Call& call = calls_.at(number);
   const PartnerEndpoint& e = world_.endpoint(call.endpoint);
@@ -274,7 +310,12 @@
   if (call.verdict.ran)
     for (const auto& [id, attempt] : call.members) auditor_.Ran(now(), id);
   // One that hangs never comes back: its relay gives it up.
-  if (call.verdict.fate == LaneModel::Fate::kHangs && !call.probe) return;
+  if (call.verdict.fate == LaneModel::Fate::kHangs && !call.probe) {
+    if (Awaited(call)) return;
+    EndConnection(call);
+    calls_.erase(number);
+    return;
+  }
   const Seconds way =
       relays_[static_cast<std::size_t>(call.relay)]->one_way[static_cast<std::size_t>(e.zone)];
   const Seconds takes = call.verdict.fate == LaneModel::Fate::kHangs ? 1.5 : call.verdict.takes;
@@ -286,6 +327,7 @@
   calls_.erase(number);
   Relay& relay = *relays_[static_cast<std::size_t>(call.relay)];
   if (!relay.up || relay.life != call.life) return;
+  EndConnection(call);
   const PartnerEndpoint& e = world_.endpoint(call.endpoint);
   Outcome outcome = call.connects ? OutcomeOf(call.verdict.fate) : Outcome::kConnectFailed;
   if (call.probe && call.verdict.fate == LaneModel::Fate::kHangs) outcome = Outcome::kTimeout;
@@ -296,12 +338,7 @@
     idle.last = now();
   }
   // What the relay has given up it reads no more: it learns nothing from it.
-  const bool awaited =
-      call.probe || std::any_of(call.members.begin(), call.members.end(), [this](const auto& member) {
-        const auto it = handings_.find(member.first);
-        return it != handings_.end() && it->second.attempts[static_cast<std::size_t>(member.second)].out;
-      });
-  if (!awaited) return;
+  if (!Awaited(call)) return;
   if (outcome != Outcome::kServed && call.in_outage) auditor_.SawOutage(relay.number, e.lane);
   if (call.verdict.wait > 0) auditor_.ToldWait(now(), relay.number, e.lane, call.verdict.wait);
   if (call.probe) {
@@ -329,7 +366,10 @@
       auditor_.SawOutage(call->second.relay, world_.endpoint(call->second.endpoint).lane);
     const auto member = std::find(members.begin(), members.end(), std::make_pair(id, attempt));
     if (reached && member != members.end()) members.erase(member);
-    if (members.empty() && call->second.verdict.fate == LaneModel::Fate::kHangs) calls_.erase(call);
+    if (members.empty() && call->second.verdict.fate == LaneModel::Fate::kHangs) {
+      EndConnection(call->second);
+      calls_.erase(call);
+    }
   }
   EndAttempt(id, attempt, outcome, 0);
 }
@@ -345,6 +385,8 @@
   Relay& relay = *relays_[static_cast<std::size_t>(h.relay)];
   tally_.AttemptEnded(outcome);
   auditor_.Over(id, attempt, a.may_have_run);
+  if (outcome == Outcome::kTimeout || outcome == Outcome::kReset || outcome == Outcome::kCancelled)
+    auditor_.MayStillRun(now(), id);
   const bool delivered = outcome == Outcome::kServed && !h.over;
   if (delivered) {
     h.over = true;
@@ -396,11 +438,14 @@
   relay->held.insert(id);
   const WorldPartner& partner = world_.partners()[arrival.partner];
   auditor_.Taken(now(), relay->number, id, client, arrival.message_class, partner.id, deadline);
+  if (arrival.order_key >= 0) auditor_.InOrder(id, OrderKeyOf(arrival));
   NewMessage message;
   message.message = id;
   message.message_class = arrival.message_class;
   message.patience = deadline - now();
   message.destination = partner.id;
+  if (s_.tenants.size() > 1) message.tenant = arrival.tenant;
+  if (arrival.order_key >= 0) message.key = std::to_string(OrderKeyOf(arrival));
   Post(*relay, std::move(message));
 }
 
@@ -513,6 +558,8 @@
     restored.message.message_class = arrival.message_class;
     restored.message.destination = world_.partners()[arrival.partner].id;
     restored.message.patience = std::max(0.0, h.deadline - now());
+    if (s_.tenants.size() > 1) restored.message.tenant = arrival.tenant;
+    if (arrival.order_key >= 0) restored.message.key = std::to_string(OrderKeyOf(arrival));
     for (const Attempt& a : h.attempts)
       restored.attempts.push_back(
           {a.endpoint, world_.endpoint(a.endpoint).zone, now() - a.sent, a.may_have_run});
--- a/lab/simulation.h
+++ b/lab/simulation.h
@@ -90,6 +90,9 @@
   void Gather(Relay& relay, const Send& send);
   void StartCall(Relay& relay, EndpointId endpoint, std::vector<std::pair<std::uint64_t, int>> members,
                  bool probe);
+  int ConnectionsTo(EndpointId endpoint) const;
+  bool Awaited(const Call& call) const;
+  void EndConnection(const Call& call);
   void Reach(std::uint64_t number);
   void Back(std::uint64_t number);
   void GiveUp(std::uint64_t id, int attempt, Outcome outcome);
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "lab/call.h"
-#include "lab/sockets/loopback.h"
 #include "net/address.h"
 #include "net/connection.h"
 #include "net/http.h"
@@ -39,7 +38,10 @@
  public:
   Session(Endpoints& all, EndpointId endpoint, int relay)
       : all_(all), endpoint_(endpoint), relay_(relay), parser_(net::HttpParser::Kind::kRequest, kBounds) {}
-  ~Session() override { all_.loop_.Cancel(timer_); }
+  ~Session() override {
+    all_.loop_.Cancel(timer_);
+    all_.Left(endpoint_);
+  }
 
   bool Open(int fd) {
     connection_ = net::Connection::Adopt(all_.loop_, fd, *this, 2 << 20, 1 << 20);
@@ -149,6 +151,10 @@
     if (verdict.fate != LaneModel::Fate::kServed && Lane().OutAt(now))
       all_.auditor_.SawOutage(relay_, LaneNumber());
     if (verdict.fate == LaneModel::Fate::kReset) return End(Outcome::kReset);
+    if (verdict.fate == LaneModel::Fate::kSpoilt) {
+      connection_->Write("HTTP/1.1 2xx fine\r\nContent-Length: many\r\n\r\n");
+      return End(Outcome::kReset);
+    }
     const bool full = verdict.fate == LaneModel::Fate::kFull;
     const bool error = verdict.fate == LaneModel::Fate::kError;
     const Seconds wait = full && !probe_ ? verdict.wait : 0;
@@ -213,26 +219,48 @@
   }
   for (EndpointId id = 1; id <= world.endpoint_count(); ++id) {
     const auto& outages = world.lane(world.endpoint(id).lane).outages();
-    if (std::none_of(outages.begin(), outages.end(),
-                     [](const LaneOutage& outage) { return outage.kind == TroubleKind::kRefuse; }))
+    if (world.endpoint(id).connections == 0 &&
+        std::none_of(outages.begin(), outages.end(), [](const LaneOutage& outage) {
+          return outage.kind == TroubleKind::kRefuse || outage.kind == TroubleKind::kVanish;
+        }))
       continue;
     for (int relay = 0; relay < s.relays; ++relay) {
       Door& door = doors_[{id, relay}];
       door.endpoint = id;
       door.relay = relay;
       door.address = LoopbackOf(id);
-      OpenDoor(door);
+      Tend(door);
       door.address = door.listener->address();  // the port that it keeps
     }
   }
 }
 
-Endpoints::~Endpoints() = default;
+Endpoints::~Endpoints() { ending_ = true; }
+
+bool Endpoints::Crowded(EndpointId endpoint) const {
+  const int most = world_.endpoint(endpoint).connections;
+  const auto taken = taken_.find(endpoint);
+  return most > 0 && taken != taken_.end() && taken->second >= most;
+}
 
-void Endpoints::OpenDoor(Door& door) {
+void Endpoints::Tend(Door& door) {
   const int relay = door.relay;
-  door.listener =
-      std::make_unique<net::Listener>(loop_, door.address, [this, relay](int fd) { Accept(fd, relay); });
+  if (door.refuses || door.hole != nullptr || Crowded(door.endpoint))
+    door.listener.reset();
+  else if (door.listener == nullptr)
+    door.listener =
+        std::make_unique<net::Listener>(loop_, door.address, [this, relay](int fd) { Accept(fd, relay); });
+}
+
+void Endpoints::TendDoorsOf(EndpointId endpoint) {
+  for (auto it = doors_.lower_bound({endpoint, 0}); it != doors_.end() && it->first.first == endpoint; ++it)
+    Tend(it->second);
+}
+
+void Endpoints::Left(EndpointId endpoint) {
+  if (ending_ || world_.endpoint(endpoint).connections == 0) return;
+  --taken_[endpoint];
+  TendDoorsOf(endpoint);
 }
 
 void Endpoints::Begin(net::Seconds start) {
@@ -240,9 +268,17 @@
   for (auto& [key, value] : doors_) {
     Door& door = value;
     for (const LaneOutage& outage : world_.lane(world_.endpoint(door.endpoint).lane).outages()) {
-      if (outage.kind != TroubleKind::kRefuse) continue;
-      loop_.At(start + outage.from, [&door] { door.listener.reset(); });
-      loop_.At(start + outage.to, [this, &door] { OpenDoor(door); });
+      if (outage.kind != TroubleKind::kRefuse && outage.kind != TroubleKind::kVanish) continue;
+      loop_.At(start + outage.from, [this, &door, kind = outage.kind] {
+        door.refuses = true;
+        Tend(door);
+        if (kind == TroubleKind::kVanish) door.hole = std::make_unique<BlackHole>(door.address);
+      });
+      loop_.At(start + outage.to, [this, &door] {
+        door.refuses = false;
+        door.hole.reset();
+        Tend(door);
+      });
     }
   }
 }
@@ -264,7 +300,12 @@
   const bool there = endpoint >= 1 && endpoint <= world_.endpoint_count() &&
                      (endpoint >= gone_.size() || !gone_[endpoint]) &&
                      !world_.lane(world_.endpoint(endpoint).lane).collapsed();
-  if (!there) return Reset(fd);
+  if (!there || Crowded(endpoint)) return Reset(fd);
+  if (world_.endpoint(endpoint).connections > 0) {
+    ++taken_[endpoint];
+    // The listener that is at it can't be closed within its own turn.
+    loop_.At(loop_.Now(), [this, endpoint] { TendDoorsOf(endpoint); });
+  }
   sessions_.Adopt(std::make_unique<Session>(*this, endpoint, relay), fd);
 }
 
--- a/lab/sockets/endpoints.h
+++ b/lab/sockets/endpoints.h
@@ -12,6 +12,7 @@
 #include "lab/auditor.h"
 #include "lab/sessions.h"
 #include "lab/sockets/ledger.h"
+#include "lab/sockets/loopback.h"
 #include "lab/world.h"
 #include "net/listener.h"
 
@@ -33,17 +34,23 @@
 
  private:
   class Session;
-  // An endpoint that refuses connections at times has a listener of its own, which is closed meanwhile.
+  // An endpoint that refuses connections at times, is cut off, or takes only so many, has a listener of its
+  // own for each relay, which is closed meanwhile.
   struct Door {
     EndpointId endpoint = 0;
     int relay = 0;
     sockaddr_in address{};
     std::unique_ptr<net::Listener> listener;
+    std::unique_ptr<BlackHole> hole;
+    bool refuses = false;
   };
   Seconds now() const { return std::max(0.0, loop_.Now() - start_); }
   Seconds WayOf(EndpointId endpoint, int relay) const;
   void Accept(int fd, int relay);
-  void OpenDoor(Door& door);
+  void Tend(Door& door);  // open or closed, as it should be now
+  void TendDoorsOf(EndpointId endpoint);
+  bool Crowded(EndpointId endpoint) const;
+  void Left(EndpointId endpoint);  // a connection has ended
 
   net::EventLoop& loop_;
   World& world_;
@@ -54,7 +61,9 @@
   std::vector<std::vector<Seconds>> one_way_;  // by relay and zone
   std::vector<std::unique_ptr<net::Listener>> listeners_;
   std::map<std::pair<EndpointId, int>, Door> doors_;
-  std::vector<bool> gone_;  // by endpoint
+  std::vector<bool> gone_;           // by endpoint
+  std::map<EndpointId, int> taken_;  // connections, where there is a limit
+  bool ending_ = false;
   Sessions<Session> sessions_;
 };
 
--- a/lab/sockets/front.cpp
+++ b/lab/sockets/front.cpp
@@ -139,7 +139,7 @@
   net::Headers headers = {{"Host", "lab"},
                           {"X-Txn", "m" + std::to_string(id)},
                           {"X-Lane", plan.name},
-                          {"X-Org", "lab"},
+                          {"X-Org", s_.tenants[static_cast<std::size_t>(arrival.tenant)].name},
                           {"X-Remaining-Ms", std::to_string(static_cast<long>(remaining * 1000))},
                           {"X-Addressing", "dest=" + std::to_string(arrival.partner + 1)}};
   if (plan.rules.effect == Effect::kKeyed)
--- a/lab/sockets/loopback.cpp
+++ b/lab/sockets/loopback.cpp
@@ -30,6 +30,31 @@
   throw std::system_error(error, std::generic_category(), "listening on the loopback device");
 }
 
+BlackHole::BlackHole(const sockaddr_in& address) {
+  const auto* to = reinterpret_cast<const sockaddr*>(&address);
+  const int on = 1;
+  listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (listener_ < 0 || bind(listener_, to, sizeof(address)) != 0 || listen(listener_, 0) != 0) {
+    const int error = errno;
+    if (listener_ >= 0) close(listener_);
+    throw std::system_error(error, std::generic_category(), "a machine that is cut off");
+  }
+  for (int& filler : fillers_) {
+    filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (filler >= 0 && connect(filler, to, sizeof(address)) != 0 && errno != EINPROGRESS) {
+      close(filler);
+      filler = -1;
+    }
+  }
+}
+
+BlackHole::~BlackHole() {
+  for (const int filler : fillers_)
+    if (filler >= 0) close(filler);
+  close(listener_);
+}
+
 sockaddr_in LoopbackOf(EndpointId endpoint) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
--- a/lab/sockets/loopback.h
+++ b/lab/sockets/loopback.h
@@ -11,6 +11,20 @@
 // std::system_error.
 int ListenOnLoopback();
 
+// A machine that is cut off, for new connections: its address takes them and never answers, as its queue for
+// them is full (tcp(7)). Throws std::system_error if the address can't be had.
+class BlackHole {
+ public:
+  explicit BlackHole(const sockaddr_in& address);
+  ~BlackHole();
+  BlackHole(const BlackHole&) = delete;
+  BlackHole& operator=(const BlackHole&) = delete;
+
+ private:
+  int listener_ = -1;
+  int fillers_[2] = {-1, -1};
+};
+
 // Endpoint 1 is 127.32.0.1, and so on; 14 million have room. The port is left at 0.
 sockaddr_in LoopbackOf(EndpointId endpoint);
 EndpointId EndpointAt(const sockaddr_in& address);
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "config/fields.h"
 #include "lab/sockets/endpoints.h"
 #include "lab/sockets/front.h"
 #include "lab/sockets/ledger.h"
@@ -266,6 +267,10 @@
 }  // namespace
 
 RunResult PlayOnSockets(const Scenario& scenario, std::uint64_t seed, const SocketOptions& options) {
+  if (scenario.load.order_keys > 0)
+    throw config::FieldError(
+        "'load.order_keys' can be played in simulated time only: the platform's protocol has no header for "
+        "it");
   std::filesystem::create_directories(options.folder);
   return SocketPlay(scenario, seed, options).Play();
 }
--- a/lab/sockets/relay_config.cpp
+++ b/lab/sockets/relay_config.cpp
@@ -29,6 +29,9 @@
     if (c.rules.effect == Effect::kKeyed) one["keyTtlS"] = c.rules.key_window;
     classes.push_back(one);
   }
+  json tenants = json::array();
+  for (const TenantPlan& t : s.tenants)
+    tenants.push_back({{"name", t.name}, {"share", t.share}, {"allowancePerS", t.allowance}});
   json bundles = json::array(), apart = json::array();
   for (const auto& kind : m.kinds) {
     bundles.push_back(kind.bundle);
@@ -40,7 +43,7 @@
           {"zones", s.zones},
           {"kinds", {"plain", "apart"}},
           {"classes", classes},
-          {"realms", json::array({{{"name", "lab"}, {"share", 1}, {"allowancePerS", 1e6}}})},
+          {"realms", tenants},
           {"familyInfo",
            {{"callsOut", m.slots},
             {"bundleMax", bundles},
--- a/lab/traffic.cpp
+++ b/lab/traffic.cpp
@@ -7,7 +7,7 @@
 namespace opalroute::lab {
 
 Traffic::Traffic(const World& world, std::uint64_t seed)
-    : world_(world), s_(world.scenario()), random_(seed, 2) {
+    : world_(world), s_(world.scenario()), random_(seed, 2), random_senders_(seed, 7) {
   double sum = 0, size = 0;
   for (const WorldPartner& partner : world.partners()) {
     shares_.push_back(sum += partner.share);
@@ -17,6 +17,8 @@
   clump_mean_ = size;
   double all = 0;
   for (const ClassPlan& c : s_.classes) classes_.push_back(all += c.share);
+  all = 0;
+  for (const TenantPlan& t : s_.tenants) tenants_.push_back(all += t.share);
   for (const Burst& burst : s_.load.bursts) most_times_ = std::max(most_times_, burst.times);
 }
 
@@ -42,6 +44,19 @@
   return static_cast<int>(std::min(classes_.size() - 1, static_cast<std::size_t>(it - classes_.begin())));
 }
 
+Arrival Traffic::Draw(Seconds due, int message_class, std::size_t partner) {
+  Arrival arrival{due, message_class, partner};
+  if (tenants_.size() > 1) {
+    const auto it =
+        std::upper_bound(tenants_.begin(), tenants_.end(), DrawUnit(random_senders_) * tenants_.back());
+    arrival.tenant =
+        static_cast<int>(std::min(tenants_.size() - 1, static_cast<std::size_t>(it - tenants_.begin())));
+  }
+  if (s_.load.order_keys > 0 && s_.classes[static_cast<std::size_t>(arrival.message_class)].rules.in_order)
+    arrival.order_key = static_cast<int>(random_senders_(static_cast<std::uint32_t>(s_.load.order_keys)));
+  return arrival;
+}
+
 std::optional<Arrival> Traffic::Next() {
   if (!clump_.empty()) {
     const Arrival next = clump_.front();
@@ -57,13 +72,14 @@
     if (now_ >= s_.lasts) return std::nullopt;
     if (Unit() < RateAt(now_) / (s_.load.rate * most_times_)) break;
   }
-  Arrival arrival{now_, DrawClass(), DrawPartner(now_)};
+  const int message_class = DrawClass();
+  const Arrival arrival = Draw(now_, message_class, DrawPartner(now_));
   if (Unit() >= clumps / thinned) return arrival;
   const WorldPartner& partner = world_.partners()[arrival.partner];
   const double limit = partner.limit > 0 ? partner.limit : s_.load.rate * partner.share;
   const double span = s_.load.clump.least + (s_.load.clump.most - s_.load.clump.least) * Unit();
   const auto size = static_cast<int>(std::max(1.0, limit * span));
-  for (int i = 1; i < size; ++i) clump_.push_back({now_, DrawClass(), arrival.partner});
+  for (int i = 1; i < size; ++i) clump_.push_back(Draw(now_, DrawClass(), arrival.partner));
   return arrival;
 }
 
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -51,6 +51,8 @@
       endpoint.lane = partner.apart ? AddLane(lane, OutagesOf(i, endpoint.zone)) : shared;
       const double rough = scenario.settings.rating == RatingMeaning::kRough ? 0.5 + Unit() : 1;
       endpoint.rating = lane.limit * rough;
+      if (plan.connections.most > 0)
+        endpoint.connections = std::max(1, static_cast<int>(std::lround(Draw(plan.connections))));
       partner.endpoints.push_back(AddEndpoint(endpoint));
     }
   }
@@ -68,6 +70,7 @@
   s.wait = Draw(plan.wait);
   s.latency = Draw(plan.latency);
   s.latency_cv = plan.latency_cv;
+  s.queue = plan.queue;
   s.cold_from = rules.cold_from;
   s.ramp = rules.ramp_time;
   s.overload_factor = rules.overload_factor;
--- a/lab/world.h
+++ b/lab/world.h
@@ -18,6 +18,7 @@
   int zone = 0, kind = 0;
   double rating = 0;
   std::uint32_t lane = 0;  // in World::lanes
+  int connections = 0;     // that it takes from all relays; 0: no limit
 };
 
 struct WorldPartner {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <iterator>
 #include <map>
+#include <queue>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -296,7 +297,7 @@
     m.bucket = {m.message_class, m.over_share, bounds->zone};
     d.waiting[m.bucket].insert({m.handed_in, m.message});
     ++d.waiting_count;
-    active_.insert(d.id);
+    active_[d.id] = &d;
     SetExpiry(m);
   }
 
@@ -382,11 +383,11 @@
   void MakeRoom() {
     const int most = s_.room - std::max(1, static_cast<int>(kRoomKept * s_.room));
     while (held_ > most && !active_.empty()) {
-      const auto line = [this](DestinationId id) { return destinations_[id].waiting_count; };
-      const DestinationId longest = *std::max_element(active_.begin(), active_.end(),
-                                                      [&](auto a, auto b) { return line(a) < line(b); });
+      const Destination* longest = active_.begin()->second;
+      for (const auto& [id, d] : active_)
+        if (d->waiting_count > longest->waiting_count) longest = d;
       std::pair<double, MessageId> least{kNever, 0};
-      for (const auto& [key, set] : destinations_[longest].waiting)
+      for (const auto& [key, set] : longest->waiting)
         least = std::min(least, {WorthAt(key, now_ - set.begin()->first), set.begin()->second});
       End(messages_.at(least.second));
     }
@@ -394,19 +395,18 @@
 
   // Free slots rotate over the waiting destinations, fewest calls out first.
   Seconds Dispatch() {
-    std::set<std::tuple<int, std::uint64_t, DestinationId>> line;
-    for (const DestinationId id : active_) {
-      const Destination& d = destinations_[id];
-      line.insert({d.calls_out, d.last_turn, id});
-    }
     Seconds wake = kNever;
-    if (!line.empty() && FreeSlots() <= 0) ReclaimSlot();
+    if (!active_.empty() && FreeSlots() <= 0) ReclaimSlot();
+    if (active_.empty() || FreeSlots() <= 0) return wake;
+    using Turn = std::tuple<int, std::uint64_t, DestinationId, Destination*>;
+    std::priority_queue<Turn, std::vector<Turn>, std::greater<>> line;
+    for (const auto& [id, d] : active_) line.emplace(d->calls_out, d->last_turn, id, d);
     while (!line.empty() && FreeSlots() > 0) {
-      Destination& d = destinations_[std::get<2>(*line.begin())];
-      line.erase(line.begin());
+      Destination& d = *std::get<Destination*>(line.top());
+      line.pop();
       const std::uint64_t before = last_call_;
       wake = std::min(wake, SendOne(d));
-      if (last_call_ > before && d.waiting_count > 0) line.insert({d.calls_out, d.last_turn, d.id});
+      if (last_call_ > before && d.waiting_count > 0) line.emplace(d.calls_out, d.last_turn, d.id, &d);
     }
     return wake;
   }
@@ -1032,8 +1032,8 @@
   std::vector<Action>* actions_ = nullptr;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, Destination> destinations_;
-  std::set<DestinationId> active_;  // with messages waiting
-  std::set<EndpointId> tended_;     // gone, or with an open circuit
+  std::map<DestinationId, Destination*> active_;  // with messages waiting
+  std::set<EndpointId> tended_;                   // gone, or with an open circuit
   std::map<MessageId, Message> messages_;
   std::map<std::uint64_t, Call> calls_;
   std::map<std::string, KeyQueue> keys_;
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -1,10 +1,13 @@
 // The laboratory on sockets: real relay processes, and the page on a run.
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <signal.h>
+#include <sys/socket.h>
 
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <regex>
 
 #include "config/fields.h"
@@ -158,49 +161,85 @@
 
 // ---- endpoints -----------------------------------------------------------------------------------------
 
-TEST_CASE("lab: 20,000 endpoints cost one descriptor") {
-  const Scenario scenario =
-      ReadScenario({{"relays", 1}, {"partners", {{"count", 20000}, {"endpoints", {1, 1}}}}});
-  World world(scenario, 1);
-  Auditor auditor(Auditor::Rules{}, scenario.settings.classes);
-  Tally tally(world, 1);
-  Ledger ledger(world, auditor, tally);
+// Endpoints with nobody who calls them but the test.
+struct Stage {
+  explicit Stage(const json& file)
+      : scenario(ReadScenario(file)),
+        world(scenario, 1),
+        auditor(Auditor::Rules{}, scenario.settings.classes),
+        tally(world, 1),
+        ledger(world, auditor, tally),
+        loop(clock),
+        descriptors_before(SampleOf(getpid()).descriptors),
+        endpoints(loop, world, auditor, ledger, tally, 1) {}
+  // Plays on until it holds, or for 5 s. Returns whether it does.
+  bool Until(const std::function<bool()>& holds) {
+    for (const double ends = loop.Now() + 5; loop.Now() < ends && !holds();) loop.RunOnce(0.01);
+    return holds();
+  }
+  const Scenario scenario;
+  World world;
+  Auditor auditor;
+  Tally tally;
+  Ledger ledger;
   const net::SystemClock clock;
-  net::EventLoop loop(clock);
-  const long before = SampleOf(getpid()).descriptors;
-  Endpoints endpoints(loop, world, auditor, ledger, tally, 1);
-  CHECK(SampleOf(getpid()).descriptors == before + 1);
-  CHECK(endpoints.AddressOf(20000, 0).rfind("127.32.78.32:", 0) == 0);
-  const int first = raw::Connect(*net::ParseAddress(endpoints.AddressOf(1, 0)));
-  const int last = raw::Connect(*net::ParseAddress(endpoints.AddressOf(20000, 0)));
-  loop.RunOnce(1);
-  CHECK(endpoints.connections() == 2);
+  net::EventLoop loop;
+  const long descriptors_before;
+  Endpoints endpoints;
+};
+
+TEST_CASE("lab: 20,000 endpoints cost one descriptor") {
+  Stage s({{"relays", 1}, {"partners", {{"count", 20000}, {"endpoints", {1, 1}}}}});
+  CHECK(SampleOf(getpid()).descriptors == s.descriptors_before + 1);
+  CHECK(s.endpoints.AddressOf(20000, 0).rfind("127.32.78.32:", 0) == 0);
+  const int first = raw::Connect(*net::ParseAddress(s.endpoints.AddressOf(1, 0)));
+  const int last = raw::Connect(*net::ParseAddress(s.endpoints.AddressOf(20000, 0)));
+  s.loop.RunOnce(1);
+  CHECK(s.endpoints.connections() == 2);
   close(first);
   close(last);
 }
 
 TEST_CASE("lab: an endpoint that refuses connections refuses them for as long as it should") {
-  const Scenario scenario = ReadScenario(
-      {{"relays", 1},
-       {"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
-       {"troubles", {{{"kind", "refuse"}, {"partner", 0}, {"from_s", 0.05}, {"lasts_s", 0.1}}}}});
-  World world(scenario, 1);
-  Auditor auditor(Auditor::Rules{}, scenario.settings.classes);
-  Tally tally(world, 1);
-  Ledger ledger(world, auditor, tally);
-  const net::SystemClock clock;
-  net::EventLoop loop(clock);
-  Endpoints endpoints(loop, world, auditor, ledger, tally, 1);
-  const std::string address = endpoints.AddressOf(1, 0);
+  Stage s({{"relays", 1},
+           {"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
+           {"troubles", {{{"kind", "refuse"}, {"partner", 0}, {"from_s", 0.05}, {"lasts_s", 0.1}}}}});
+  const std::string address = s.endpoints.AddressOf(1, 0);
   CHECK(SomebodyListens(address));
-  endpoints.Begin(loop.Now());
-  const auto until = [&](bool listens) {
-    for (const double ends = loop.Now() + 5; loop.Now() < ends && SomebodyListens(address) != listens;)
-      loop.RunOnce(0.01);
-    return SomebodyListens(address) == listens;
-  };
-  CHECK(until(false));
-  CHECK(until(true));
+  s.endpoints.Begin(s.loop.Now());
+  CHECK(s.Until([&] { return !SomebodyListens(address); }));
+  CHECK(s.Until([&] { return SomebodyListens(address); }));
+}
+
+TEST_CASE("lab: an endpoint takes as many connections as it should, and one more once one has ended") {
+  Stage s({{"relays", 1}, {"partners", {{"count", 1}, {"endpoints", {1, 1}}, {"connections", {2, 2}}}}});
+  const std::string address = s.endpoints.AddressOf(1, 0);
+  const int first = raw::Connect(*net::ParseAddress(address));
+  const int second = raw::Connect(*net::ParseAddress(address));
+  CHECK(s.Until([&] { return s.endpoints.connections() == 2; }));
+  CHECK(s.Until([&] { return !SomebodyListens(address); }));
+  close(first);
+  CHECK(s.Until([&] { return SomebodyListens(address); }));
+  close(second);
+}
+
+TEST_CASE("lab: a machine that has vanished leaves a new connection without any answer") {
+  Stage s({{"relays", 1},
+           {"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
+           {"troubles", {{{"kind", "vanish"}, {"partner", 0}, {"from_s", 0}, {"lasts_s", 0.3}}}}});
+  const sockaddr_in address = *net::ParseAddress(s.endpoints.AddressOf(1, 0));
+  const net::Seconds began = s.loop.Now();
+  s.endpoints.Begin(began);
+  s.loop.RunOnce(0.01);
+  s.loop.RunOnce(0.01);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  CHECK(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0);
+  CHECK(errno == EINPROGRESS);
+  pollfd waits{fd, POLLOUT, 0};
+  CHECK(poll(&waits, 1, 100) == 0);  // neither up nor refused
+  close(fd);
+  CHECK(s.Until([&] { return s.loop.Now() > began + 0.4; }));  // to connect before would block
+  CHECK(SomebodyListens(s.endpoints.AddressOf(1, 0)));
 }
 
 // ---- whole runs ----------------------------------------------------------------------------------------
@@ -322,6 +361,40 @@
   }
 }
 
+// ---- comparisons ---------------------------------------------------------------------------------------
+
+// Runs the laboratory with these words. Returns its exit status.
+int Lab(const std::vector<std::string>& words, std::string* last_line = nullptr) {
+  Program lab("none", "", words, LAB_PROGRAM);
+  std::string line, found;
+  while (!(line = lab.Line("")).empty()) found = line;
+  if (last_line != nullptr) *last_line = found;
+  return WEXITSTATUS(lab.ExitStatus());
+}
+
+TEST_CASE("lab: two builds are compared, in simulated time and on sockets") {
+  const Folder folder;
+  json day = SmallDay();
+  day["lasts_s"] = 2;
+  day["troubles"] = json::array();
+  std::ofstream(folder / "day.json") << day.dump();
+  const std::string build = fs::path(LAB_PROGRAM).parent_path().string();
+  std::string last;
+  // The same build against itself: its own process gives what this one gives.
+  CHECK(Lab({"compare", folder / "day.json", folder / "day.json", "--build-b", build, "--seeds", "3"},
+            &last) == 0);
+  CHECK(last.find("breaches") == 0);
+  CHECK(last.find("no difference") != std::string::npos);
+  const int on_sockets = Lab(
+      {"compare", folder / "day.json", folder / "day.json", "--sockets", "--build-b", build, "--seeds", "2"},
+      &last);
+  CHECK((on_sockets == 0 || on_sockets == 3));  // 3: the machine was busy, and it says so
+  CHECK(Lab({"compare", folder / "day.json", folder / "day.json", "--build-a", folder / "none", "--seeds",
+             "2"}) == 2);
+  CHECK(Lab({"sweep", folder / "day.json", "load.rate", "20", "40", "--seeds", "2"}, &last) == 0);
+  CHECK(last.rfind("40 ", 0) == 0);
+}
+
 // ---- the report ----------------------------------------------------------------------------------------
 
 int CountOf(const std::string& text, const std::string& part) {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -57,7 +57,7 @@
   CHECK(FaultOf({{"load", {{"rate", "fast"}}}}) == "'load.rate' must be a number from 0.01 to 1000000.0");
   CHECK(FaultOf({{"load", {{"burst", 1}}}}) == "'load.burst' is not known");
   CHECK(FaultOf({{"troubles", {{{"kind", "flood"}, {"share", 0.1}}}}}) ==
-        "'troubles[0].kind' must be one of shut, refuse, hang, reset, errors, slow");
+        "'troubles[0].kind' must be one of shut, refuse, hang, reset, errors, slow, spoilt, vanish");
   CHECK(FaultOf({{"troubles", {{{"kind", "shut"}, {"partner", 10}}}}}).find("'troubles[0].partner'") == 0);
   CHECK(FaultOf({{"relay_faults", {{{"kind", "kill"}, {"relay", 2}}}}}) ==
         "'relay_faults[0].relay' must be a whole number from 0 to 1");
@@ -133,6 +133,44 @@
   CHECK(!spared.collapsed());
 }
 
+TEST_CASE("lab: a queue of one behind two places, as reckoned by hand") {
+  LaneSettings s;
+  s.capacity = 10;
+  s.latency = 0.2;  // two places
+  s.latency_cv = 0;
+  s.queue = 1;
+  s.tells_wait = 1;
+  LaneModel lane(s, {}, 1);
+  CHECK(lane.Take(1).takes == doctest::Approx(0.2));
+  CHECK(lane.Take(1.1).takes == doctest::Approx(0.2));
+  CHECK(lane.Take(1.1).takes == doctest::Approx(0.3));  // begins at 1.2
+  const auto full = lane.Take(1.15);
+  CHECK(full.fate == LaneModel::Fate::kFull);
+  CHECK(!full.ran);
+  CHECK(full.wait == doctest::Approx(0.15));              // until 1.3, when the next place is free
+  CHECK(lane.Take(1.25).takes == doctest::Approx(0.25));  // behind one that ends at 1.4, one at 1.3
+}
+
+TEST_CASE("lab: one that has vanished runs nothing; one that spoils its answers has run") {
+  LaneModel lane({}, {{TroubleKind::kVanish, 10, 20}, {TroubleKind::kSpoilt, 30, 40, 0.4}}, 1);
+  CHECK(lane.VanishedAt(15));
+  CHECK(lane.OutAt(15));
+  CHECK(!lane.RefusesConnections(15));
+  const auto silent = lane.Take(15);
+  CHECK(silent.fate == LaneModel::Fate::kHangs);
+  CHECK(!silent.ran);
+  CHECK(lane.ColdAt(21));
+  CHECK(!lane.OutAt(35));  // most of its calls are well
+  int spoilt = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const auto verdict = lane.Take(36 + i * 0.001);
+    CHECK(verdict.ran);
+    spoilt += verdict.fate == LaneModel::Fate::kSpoilt;
+  }
+  CHECK(spoilt > 340);
+  CHECK(spoilt < 460);
+}
+
 // ---- the auditor: each breach, committed and caught
 // -----------------------------------------------------------
 
@@ -287,6 +325,37 @@
   }
 }
 
+TEST_CASE("lab: the auditor catches what goes out of turn, or while its key rests") {
+  MessageClass keyed;
+  keyed.effect = Effect::kKeyed;
+  keyed.key_window = 12;
+  Auditor::Rules rules;
+  rules.key_rest = 1;
+  Auditor a(rules, {keyed});
+  a.Listed(1, 7, 1);
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    a.Taken(0, 0, id, id, 0, 7, 20);
+    a.InOrder(id, 5);
+  }
+  a.Sent(1, 0, 1, 1);
+  a.Over(1, 0, true);
+  a.MayStillRun(2, 1);
+  a.Sent(2.1, 0, 1, 1);  // the one that has the turn need not rest
+  a.Ended(2.5, 1, Auditor::End::kDelivered);
+  CHECK(a.breaches().empty());
+  a.Sent(2.9, 0, 2, 1);  // the first is over, and still out
+  CHECK(a.Count(BreachKind::kOutOfTurn) == 1);
+  a.Over(1, 1, true);
+  a.MayStillRun(3, 2);
+  a.Over(2, 0, false);
+  a.Ended(3.1, 2, Auditor::End::kFailed);
+  a.Sent(3.9, 0, 3, 1);  // the second is over, and may still run
+  CHECK(a.Count(BreachKind::kOutOfTurn) == 2);
+  a.Over(3, 0, false);
+  a.Sent(4.1, 0, 3, 1);
+  CHECK(a.breaches().size() == 2);
+}
+
 // ---- runs
 // --------------------------------------------------------------------------------------------------
 
@@ -327,6 +396,38 @@
   }
 }
 
+TEST_CASE("lab: endpoints with few connections refuse some, and the rules are kept there too") {
+  for (const char* name : {"crowded", "vanished", "ordered", "tenants"}) {
+    CAPTURE(name);
+    const Scenario scenario = LoadScenario(std::string(SCENARIOS) + "/" + name + ".json");
+    long unconnected = 0;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      const RunResult result = Simulation(scenario, seed).Run();
+      unconnected += result.unconnected;
+      for (const Breach& breach : result.breaches)
+        FAIL_CHECK(NameOf(breach.kind), " ", breach.at, " ", breach.trace);
+    }
+    if (scenario.partners.connections.most > 0) CHECK(unconnected > 0);
+  }
+}
+
+TEST_CASE("lab: what two tenants send is by their shares, and orders go by key") {
+  Scenario scenario = LoadScenario(std::string(SCENARIOS) + "/tenants.json");
+  scenario.classes[1].rules.in_order = true;
+  scenario.load.order_keys = 3;
+  const World world(scenario, 1);
+  Traffic traffic(world, 1);
+  int greedy = 0, all = 0;
+  while (const auto arrival = traffic.Next()) {
+    ++all;
+    greedy += arrival->tenant == 0;
+    CHECK((arrival->order_key >= 0) == (arrival->message_class == 1));
+    CHECK(arrival->order_key < 3);
+  }
+  CHECK(greedy > all * 0.7);
+  CHECK(greedy < all * 0.8);
+}
+
 TEST_CASE("lab: a bootstrap interval finds a difference that is there, and none where there is none") {
   std::vector<double> apart, same;
   pcg32 random(3);
