--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -57,6 +57,19 @@
   int learn_note_peers = 2;       // asked by datagrams ...
   int learn_note_answers = 4;     // ... of which each sends so many at most
   double learn_note_time = 2;     // seconds after the question that answers are taken
+  // name servers
+  int dns_tries = 4;                         // of a question, over all servers
+  std::size_t dns_flights = 64;              // questions under way at once
+  unsigned short dns_datagram_asked = 1232;  // the longest answer asked for in one datagram (EDNS0)
+  std::size_t dns_datagram_bytes = 4096;     // and the longest that is taken
+  std::size_t dns_tcp_bytes = 128 * 1024;    // a connection's buffer, each way
+  double dns_tcp_rest = 5;                   // a connection without a question is kept for so long
+  double dns_least_lifetime = 1;             // of an answer; a shorter one counts as this ...
+  double dns_most_lifetime = 3600;           // ... and a longer one as this
+  double dns_negative_lifetime = 60;         // the longest of 'no such name' and 'no such record'
+  double dns_stale = 3600;           // an answer is good for so long after its lifetime if servers fail
+  double dns_retry = 5;              // after a question that no server has answered
+  std::size_t dns_entries = 50'000;  // answers kept
   // the end
   double stop_take_on = 0.45;  // after SIGTERM: new work is still taken on for so long
   double stop_time = 3.45;     // and the process has ended after this
