--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -24,7 +24,12 @@
   snapshot->add_option("FROM", order.snapshot_of, "address of a --learn-listen, or a state folder")
       ->required();
   snapshot->add_flag("--json", order.as_json, "as JSON instead of a table");
-  for (CLI::App* command : {run, check, snapshot}) command->fallthrough();
+  CLI::App* pool =
+      app.add_subcommand("pool", "print the joined set of endpoints, and why each is in service or not");
+  pool->add_option("FROM", order.pool_of,
+                   "address of a relay's --admin-listen; without it --srv is asked for once");
+  pool->add_flag("--json", order.as_json, "as JSON instead of a table");
+  for (CLI::App* command : {run, check, snapshot, pool}) command->fallthrough();
   try {
     const config::OperatorOptions options(app, environment);
     app.parse(argc, argv);
@@ -36,6 +41,7 @@
   }
   if (*check) order.command = Command::kCheck;
   if (*snapshot) order.command = Command::kSnapshot;
+  if (*pool) order.command = Command::kPool;
   return parsed;
 }
 
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -9,13 +9,14 @@
 
 namespace opalroute::cli {
 
-enum class Command { kRun, kCheck, kSnapshot };
+enum class Command { kRun, kCheck, kSnapshot, kPool };
 
 struct Order {
   Command command = Command::kRun;
   Operator settings;
   std::vector<std::string> faults;  // of the operators' settings, one a line
   std::string snapshot_of;          // an address or a state folder
+  std::string pool_of;              // an address, or nothing
   bool as_json = false;
 };
 
--- /dev/null
+++ b/src/cli/pool.cpp
@@ -0,0 +1,131 @@
+#include "cli/pool.h"
+
+#include <cstdio>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "net/address.h"
+#include "net/http_client.h"
+#include "pool/discovery.h"
+#include "pool/joined_pool.h"
+
+namespace opalroute::cli {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr net::Seconds kTime = 10;  // for all of it
+
+// One question to a relay's --admin-listen.
+class Fetch : public net::HttpClient::Call {
+ public:
+  explicit Fetch(const sockaddr_in& from) : client_(loop_, Bounds()) {
+    timer_ = loop_.At(loop_.Now() + kTime, [this] { loop_.Stop(); });
+    client_.Start({from}, *this);
+    loop_.Run();
+    if (!settled_) client_.Abandon(*this);
+  }
+  ordered_json page;
+
+ private:
+  static net::ClientBounds Bounds() {
+    const Limits limits;
+    net::ClientBounds bounds;
+    bounds.http = {limits.head_bytes, limits.header_count, limits.admin_bytes};
+    bounds.request_bytes = limits.head_bytes;
+    bounds.connections = 1;
+    bounds.connect_time = bounds.idle_time = bounds.answer_time = bounds.rest_time = kTime;
+    return bounds;
+  }
+  std::string OnReady() override { return net::WriteRequest("GET", "/pool", {{"Host", "admin"}}, ""); }
+  void OnAnswer(net::HttpMessage& answer) override {
+    if (answer.status == 200) page = ordered_json::parse(answer.body, nullptr, false);
+    settled_ = true;
+    loop_.Stop();
+  }
+  void OnBroken(net::HttpClient::Broken, int) override {
+    settled_ = true;
+    loop_.Stop();
+  }
+
+  const net::SystemClock clock_;
+  net::EventLoop loop_{clock_};
+  net::HttpClient client_;
+  net::EventLoop::TimerId timer_ = 0;
+  bool settled_ = false;
+};
+
+class Nobody : public PoolSource::Listener {
+ public:
+  void OnPoolNews(const PoolNews&) override {}
+  void OnPoolFailed() override {}
+};
+
+ordered_json ResolveOnce(const Config& config, const Operator& settings) {
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  Nobody nobody;
+  net::HttpClient client(loop, net::ClientBounds{});
+  Discovery reader(loop, client, config.discovery, config.limits, nobody);
+  const auto known = config.known.is_null() ? std::nullopt : reader.ReadList(config.known);
+  JoinedPool pool(loop, config, settings, nobody);
+  pool.Remembered(known.value_or(PoolNews{true, true, {}}));
+  for (const net::Seconds ends = loop.Now() + kTime; pool.unheard() > 0 && loop.Now() < ends;)
+    loop.RunOnce(0.1);
+  return pool.Print();
+}
+
+void PrintTable(const ordered_json& page) {
+  std::printf("%-12s %-32s %-21s %-8s %10s  %s\n", "destination", "endpoint", "address", "service", "rating",
+              "why");
+  for (const ordered_json& row : page.at("members")) {
+    const std::string name = row.at("endpoint").dump(-1, ' ', true, ordered_json::error_handler_t::replace);
+    std::printf("%-12lld %-32s %-21s %-8s %10.2f  %s\n", row.at("destination").get<long long>(), name.c_str(),
+                row.at("address").get<std::string>().c_str(),
+                row.value("in_service", true) ? "in" : "draining", row.value("rating", 0.0),
+                row.at("why").get<std::string>().c_str());
+  }
+  if (!page.contains("silent")) return;
+  for (const auto& [destination, why] : page.at("silent").items())
+    std::printf("destination %s: SRV says nothing: %s\n", destination.c_str(),
+                why.get<std::string>().c_str());
+}
+
+}  // namespace
+
+int Pool(const std::string& from, bool as_json, const Operator& settings,
+         const config::Environment& environment) {
+  ordered_json page;
+  if (!from.empty()) {
+    const auto address = net::ParseAddress(from);
+    if (!address) {
+      std::cerr << "'" << from << "' is no address like 127.0.0.1:80\n";
+      return 2;
+    }
+    page = Fetch(*address).page;
+    if (!page.is_object()) {
+      std::cerr << "no relay told its pool at " << from << " (see --admin-listen)\n";
+      return 1;
+    }
+  } else {
+    if (settings.srv_names.empty()) {
+      std::cerr << "'srv' names nothing to ask for; name a running relay's --admin-listen, or see --srv\n";
+      return 2;
+    }
+    try {
+      page = ResolveOnce(config::Load(environment), settings);
+    } catch (const std::exception& error) {
+      std::cerr << error.what() << '\n';
+      return 2;
+    }
+  }
+  if (as_json)
+    std::cout << page.dump(-1, ' ', true, ordered_json::error_handler_t::replace) << '\n';
+  else
+    PrintTable(page);
+  return 0;
+}
+
+}  // namespace opalroute::cli
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -70,6 +70,9 @@
   double dns_stale = 3600;           // an answer is good for so long after its lifetime if servers fail
   double dns_retry = 5;              // after a question that no server has answered
   std::size_t dns_entries = 50'000;  // answers kept
+  // operators' questions
+  int admin_connections = 4;
+  std::size_t admin_bytes = 16 << 20;  // of an answer
   // the end
   double stop_take_on = 0.45;  // after SIGTERM: new work is still taken on for so long
   double stop_time = 3.45;     // and the process has ended after this
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace opalroute {
@@ -21,6 +22,16 @@
     double longest_wait = 30;           // seconds for which a wait by hearsay holds at most; 0 to 3600
     bool on() const { return listen || !from.empty() || notes || state; }
   } learn;
+  std::optional<sockaddr_in> admin_listen;  // what a running relay tells its operators
+  struct Dns {
+    std::vector<sockaddr_in> servers;
+    double least_lifetime = 1;    // seconds that an answer is kept at least; 0.1 to 3600
+    double most_lifetime = 3600;  // and at most; 1 to 86400
+    double stale = 3600;  // seconds after its lifetime that it is good for if servers fail; 0 to 604800
+  } dns;
+  std::vector<std::pair<std::string, long long>> srv_names;  // SRV names and their destinations
+  std::vector<std::pair<long long, sockaddr_in>>
+      srv_own;  // what is a destination's own though no list names it
 };
 
 }  // namespace opalroute
--- a/src/config/operator_options.cpp
+++ b/src/config/operator_options.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <cmath>
 #include <cstdlib>
 #include <filesystem>
 #include <functional>
 #include <set>
 
+#include "dns/message.h"
 #include "net/address.h"
 
 namespace opalroute::config {
@@ -61,6 +63,46 @@
   return to ? "" : "an address like 127.0.0.1:80";
 }
 
+std::optional<long long> DestinationIn(const std::string& text) {
+  char* end = nullptr;
+  errno = 0;
+  const long long number = std::strtoll(text.c_str(), &end, 10);
+  if (text.empty() || *end != '\0' || errno != 0) return std::nullopt;
+  return number;
+}
+
+// NAME=DESTINATION, apart by commas.
+std::string TakeNames(std::vector<std::pair<std::string, long long>>& to, const std::string& value) {
+  constexpr const char* kForm =
+      "names like _api._tcp.partner.example=7, apart by commas, each destination once";
+  to.clear();
+  std::set<long long> seen;
+  for (const std::string& text : CLI::detail::split(value, ',')) {
+    const std::size_t equals = text.find('=');
+    const auto destination =
+        equals == std::string::npos ? std::nullopt : DestinationIn(text.substr(equals + 1));
+    const auto name = dns::Name::Parse(text.substr(0, equals));
+    if (!destination || !name || name->root() || !seen.insert(*destination).second) return kForm;
+    to.emplace_back(text.substr(0, equals), *destination);
+  }
+  return {};
+}
+
+// DESTINATION=ADDRESS, apart by commas.
+std::string TakeOwn(std::vector<std::pair<long long, sockaddr_in>>& to, const std::string& value) {
+  to.clear();
+  for (const std::string& text : CLI::detail::split(value, ',')) {
+    const std::size_t equals = text.find('=');
+    const auto destination = DestinationIn(text.substr(0, equals));
+    const auto address =
+        equals == std::string::npos ? std::nullopt : net::ParseAddress(text.substr(equals + 1));
+    if (!destination || !address || address->sin_port == 0)
+      return "entries like 7=127.0.0.1:80, apart by commas";
+    to.emplace_back(*destination, *address);
+  }
+  return {};
+}
+
 template <typename... Words>
 std::string TakeWord(std::string& to, const std::string& value, Words... words) {
   if (((value != words) && ...)) {
@@ -97,6 +139,21 @@
        [](Operator& o, const std::string& v) { return TakeNumber(o.learn.time, v, 10, 10000, 1e-3); }},
       {"learn.longest_wait_s", Form::kNumber, "longest that a wait by hearsay holds; 0 to 3600",
        [](Operator& o, const std::string& v) { return TakeNumber(o.learn.longest_wait, v, 0, 3600, 1); }},
+      {"admin.listen", Form::kText, "address where operators may ask a running relay (GET /pool, /counters)",
+       [](Operator& o, const std::string& v) { return TakeAddress(o.admin_listen, v); }},
+      {"dns.server", Form::kTexts, "addresses of recursive name servers",
+       [](Operator& o, const std::string& v) { return TakeAddresses(o.dns.servers, v); }},
+      {"dns.least_lifetime_s", Form::kNumber, "an answer is kept so long at least; 0.1 to 3600",
+       [](Operator& o, const std::string& v) { return TakeNumber(o.dns.least_lifetime, v, 0.1, 3600, 1); }},
+      {"dns.most_lifetime_s", Form::kNumber, "and so long at most; 1 to 86400",
+       [](Operator& o, const std::string& v) { return TakeNumber(o.dns.most_lifetime, v, 1, 86400, 1); }},
+      {"dns.stale_s", Form::kNumber, "and so long after its lifetime while servers fail; 0 to 604800",
+       [](Operator& o, const std::string& v) { return TakeNumber(o.dns.stale, v, 0, 604800, 1); }},
+      {"srv", Form::kTexts,
+       "SRV names of destinations, NAME=DESTINATION; they order, rate and drain endpoints",
+       [](Operator& o, const std::string& v) { return TakeNames(o.srv_names, v); }},
+      {"srv_own", Form::kTexts, "DESTINATION=ADDRESS: a destination's own, which SRV may add to the list",
+       [](Operator& o, const std::string& v) { return TakeOwn(o.srv_own, v); }},
   };
   return settings;
 }
@@ -245,6 +302,10 @@
     faults.push_back("'" + key + "' (flag --" + FlagOf(key) + ", variable " + VariableOf(key) +
                      ", or the operators' file) must be " + expected + ", not '" + given->text + "'");
   }
+  if (!settings.srv_names.empty() && settings.dns.servers.empty())
+    faults.emplace_back("'dns.server' must name a server where 'srv' names what to ask for");
+  if (settings.dns.least_lifetime > settings.dns.most_lifetime)
+    faults.emplace_back("'dns.least_lifetime_s' must not be over 'dns.most_lifetime_s'");
   return settings;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "cli/command_line.h"
+#include "cli/pool.h"
 #include "cli/snapshot.h"
 #include "config/config.h"
 #include "log/log.h"
@@ -91,6 +92,8 @@
   if (order.command == opalroute::cli::Command::kCheck) return opalroute::cli::Check(order, Variable);
   for (const std::string& fault : order.faults) std::cerr << fault << '\n';
   if (!order.faults.empty()) return 2;
+  if (order.command == opalroute::cli::Command::kPool)
+    return opalroute::cli::Pool(order.pool_of, order.as_json, order.settings, Variable);
   const opalroute::Operator& settings = order.settings;
   opalroute::log::Start(settings.log_json ? opalroute::log::Form::kJson : opalroute::log::Form::kText,
                         spdlog::level::from_str(settings.log_level));
--- a/src/pool/pool_source.h
+++ b/src/pool/pool_source.h
@@ -18,7 +18,8 @@
 };
 
 struct PoolNews {
-  bool whole = false;  // else only what has changed
+  bool whole = false;   // else only what has changed
+  bool of_list = true;  // else another source has spoken, and the list may not have come yet
   std::vector<PoolMember> members;
 };
 
--- /dev/null
+++ b/src/relay/admin.cpp
@@ -0,0 +1,37 @@
+#include "relay/admin.h"
+
+#include <utility>
+
+namespace opalroute {
+
+namespace {
+
+net::ServerBounds BoundsOf(const Limits& limits) {
+  net::ServerBounds bounds;
+  bounds.http = {limits.head_bytes, limits.header_count, limits.name_bytes};
+  bounds.answer_bytes = limits.admin_bytes;
+  bounds.connections = limits.admin_connections;
+  bounds.requests_a_turn = 1;
+  bounds.first_time = bounds.request_time = limits.request_time;
+  bounds.idle_time = limits.client_idle;
+  bounds.rest_time = limits.client_rest;
+  bounds.silent_time = limits.client_silent;
+  bounds.linger_time = limits.client_linger;
+  bounds.linger_bytes = limits.linger_bytes;
+  bounds.reject_wait = limits.reject_wait;
+  return bounds;
+}
+
+}  // namespace
+
+Admin::Admin(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages)
+    : pages_(std::move(pages)), http_(loop, listen, BoundsOf(limits), *this) {}
+
+net::HttpAnswer Admin::OnRequest(net::HttpMessage& request) {
+  const auto page = pages_.find(request.target.substr(0, request.target.find('?')));
+  if (request.method != "GET" || page == pages_.end())
+    return {404, {{"Content-Type", "text/plain"}}, "there is no such page\n", 0};
+  return {200, {{"Content-Type", "application/json"}}, page->second() + "\n", 0};
+}
+
+}  // namespace opalroute
--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -23,6 +23,19 @@
   return it->second;
 }
 
+nlohmann::ordered_json EndpointTable::Print() const {
+  std::map<std::pair<DestinationId, std::string>, const Endpoint*> ordered;
+  for (const auto& [id, endpoint] : endpoints_)
+    if (endpoint.listed) ordered[{endpoint.destination, endpoint.id}] = &endpoint;
+  nlohmann::ordered_json rows = nlohmann::ordered_json::array();
+  for (const auto& [key, endpoint] : ordered)
+    rows.push_back({{"destination", key.first},
+                    {"endpoint", key.second},
+                    {"address", net::FormatAddress(endpoint->address)},
+                    {"why", "list"}});
+  return {{"members", rows}};
+}
+
 std::optional<EndpointId> EndpointTable::FindListed(const std::string& id) const {
   const auto it = ids_.find(id);
   if (it == ids_.end() || !endpoints_.at(it->second).listed) return std::nullopt;
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -43,6 +44,8 @@
   net::Peer PeerOf(EndpointId id) const { return {endpoints_.at(id).address, id}; }
   bool Serves(DestinationId destination) const { return destinations_.count(destination) > 0; }
   bool empty() const { return destinations_.empty(); }
+  // The listed endpoints, in the form of JoinedPool's, where the list is the only source.
+  nlohmann::ordered_json Print() const;
 
   // Danger: lists name new endpoints all day, and what is kept of each would grow for good. The module has
   // dropped an endpoint that is gone when a turn ends with no call or probe out there: those that were unused
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -60,7 +60,12 @@
       driver_(loop, config.settings, *this),
       calls_(loop, endpoints_client_, config, counters_, endpoints_, transactions_, driver_,
              [this] { CheckStopped(); }),
-      discovery_(loop, platform_client_, config.discovery, config.limits, *this),
+      joined_(settings.srv_names.empty()
+                  ? nullptr
+                  : std::make_unique<JoinedPool>(loop, config, settings,
+                                                 static_cast<PoolSource::Listener&>(*this))),
+      discovery_(loop, platform_client_, config.discovery, config.limits,
+                 joined_ ? static_cast<PoolSource::Listener&>(*joined_) : *this),
       notices_(loop, platform_client_, config.discovery, config.limits,
                [this](const std::string& id) {
                  ++counters_.notices_arrived;
@@ -74,8 +79,15 @@
       discovery_at_(config.discovery),
       server_(loop, config, counters_, *this) {
   if (config.peer_listen) ListenToPeers();
+  if (settings.admin_listen)
+    admin_ = std::make_unique<Admin>(
+        loop, *settings.admin_listen, config.limits,
+        Admin::Pages{
+            {"/pool", [this] { return joined_ ? joined_->Print().dump() : endpoints_.Print().dump(); }},
+            {"/counters", [this] { return counters_.Print(); }}});
   const auto known = config.known.is_null() ? std::nullopt : discovery_.ReadList(config.known);
-  driver_.Post(endpoints_.Apply(known.value_or(PoolNews{true, {}}), ListScope::kRemembered));
+  const PoolNews list = known.value_or(PoolNews{true, true, {}});
+  driver_.Post(endpoints_.Apply(joined_ ? joined_->Remembered(list) : list, ListScope::kRemembered));
   // Before what an earlier process had taken on is sent: the partners may be down still.
   if (settings.learn.on())
     learning_ = std::make_unique<learning::Learning>(loop, config, settings.learn, learning_host_);
@@ -91,10 +103,10 @@
 
 void Relay::OnPoolNews(const PoolNews& news) {
   ++counters_.pool_news;
-  list_is_current_ = true;
+  list_is_current_ = list_is_current_ || news.of_list;
   driver_.Post(endpoints_.Apply(news, news.whole ? ListScope::kWhole : ListScope::kChanges));
   if (learning_) learning_->OnPoolNews();
-  ready_ = true;
+  ready_ = ready_ || news.of_list || !endpoints_.empty();
 }
 
 void Relay::OnPoolFailed() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -16,6 +16,8 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "pool/discovery.h"
+#include "pool/joined_pool.h"
+#include "relay/admin.h"
 #include "relay/calls.h"
 #include "relay/counters.h"
 #include "relay/endpoint_table.h"
@@ -40,6 +42,7 @@
   void Reload(const std::function<Config()>& read);
 
   const learning::Learning* learning() const { return learning_.get(); }
+  const Admin* admin() const { return admin_.get(); }
   sockaddr_in address() { return server_.http().address(); }
   const Counters& counters() const { return counters_; }
 
@@ -73,6 +76,8 @@
   TransactionTable transactions_;
   ModuleDriver driver_;
   Calls calls_;
+  std::unique_ptr<Admin> admin_;        // off unless the operators' settings say where
+  std::unique_ptr<JoinedPool> joined_;  // where the list is not the only source
   Discovery discovery_;
   Notices notices_;
   std::unique_ptr<net::DatagramSocket> peers_;
