--- a/tests/dns_test.cpp
+++ b/tests/dns_test.cpp
@@ -402,6 +402,39 @@
   CHECK(w.Ask(w.q).answer->kind == Answer::Kind::kNoName);  // that is an answer
 }
 
+TEST_CASE("dns: an answer slower than its try is passed over, and the next try's is taken") {
+  World w;
+  auto entry = w.Entry();
+  entry.delay = 1;  // longer than the first try waits, shorter than a later one
+  w.server.Set(w.q, entry);
+  const Outcome slow = w.Ask(w.q);
+  CHECK(slow.answer);
+  CHECK(w.server.datagrams() >= 2);
+  entry.delay = 30;  // longer than its own lifetime of 10 s
+  w.server.Set(w.q, entry);
+  w.clock.Advance(20);
+  CHECK(w.Ask(w.q).stale);
+  lab::PlayUntil(w.loop, w.clock, w.clock.Now() + 31);  // the late ones come to closed ports
+  CHECK(w.resolver->counters().answers == 1);
+}
+
+TEST_CASE("dns: lifetimes of 0 and of 2^31 from the wire, and a long answer to one without EDNS0") {
+  World w;
+  auto entry = w.Entry();
+  for (const std::uint32_t lifetime : {0U, 0x80000000U}) {
+    entry.answers[0].lifetime = lifetime;
+    w.server.Set(w.q, entry);
+    const Outcome outcome = w.Ask(w.q, true);
+    CHECK(outcome.answer->lifetime == 0);
+    CHECK(outcome.refresh_at <= w.clock.Now() + w.limits.dns_least_lifetime);
+  }
+  auto many = w.Entry(20);  // over 512 bytes
+  many.fault = Fault::kNoEdns;
+  w.server.Set(w.q, many);
+  CHECK(w.Ask(w.q, true).answer->services.size() == 20);
+  CHECK(w.server.tcp_questions() == 1);
+}
+
 TEST_CASE("dns: another server helps out, and is asked first from then on") {
   World w;
   w.server.SetSilent(true);
--- a/tests/srv_test.cpp
+++ b/tests/srv_test.cpp
@@ -193,6 +193,25 @@
   CHECK(changes <= 1);
 }
 
+TEST_CASE("srv: no such name, no such record and a name without one leave the set as it was") {
+  Stage s;
+  s.server.Set(Srv(), Services({{"a.example", 80}, {"b.example", 80}}, 5));
+  s.Start();
+  s.Play(1);
+  s.server.Remove(Srv());
+  s.Play(30);
+  CHECK(s.Serves("a"));
+  CHECK(s.Serves("b"));
+  CHECK(s.pool->Print()["silent"]["7"] == "no such name");
+  s.server.Set(Srv(), {});
+  s.Play(70);
+  CHECK(s.Serves("a"));
+  CHECK(s.Serves("b"));
+  s.server.Set(Srv(), Services({{"a.example", 80}, {"b.example", 80}}, 5));
+  s.Play(70);
+  CHECK(s.pool->Print()["silent"].empty());
+}
+
 TEST_CASE("srv: after the longest age the list stands alone") {
   Stage s;
   s.settings.dns.stale = 60;
