Read once more: dead parts of resolver and merge go, one piece bounds both HTTP servers

Cause: the change left accessors and marks that nobody read (Watch, begun, flights, cache), wrote the bounds of the relay's HTTP server a second time, and moved the whole line of waiting questions with each that landed.

Change: they are gone; ServerBoundsOf serves clients' and operators' server; the line is a deque.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -24,7 +24,6 @@
 namespace {
 
 using namespace opalroute::lab;
-using nlohmann::json;
 
 double WallSeconds() {
   return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
--- a/src/dns/resolver.cpp
+++ b/src/dns/resolver.cpp
@@ -101,15 +101,12 @@
 
 // Thousands of names may be due at once; their queries leave as others land.
 void Resolver::BeginSome() {
-  std::size_t begun = 0;
-  for (; begun < line_.size() && flying_ < limits_.dns_flights; ++begun) {
-    const Question question = line_[begun];
-    const auto it = flights_.find(question);
-    if (it == flights_.end() || std::exchange(it->second.begun, true)) continue;
+  while (!line_.empty() && flying_ < limits_.dns_flights) {
+    const Question question = std::move(line_.front());
+    line_.pop_front();
     ++flying_;
     Try(question);
   }
-  line_.erase(line_.begin(), line_.begin() + static_cast<std::ptrdiff_t>(begun));
 }
 
 void Resolver::Try(const Question& question) {
--- a/src/dns/resolver.h
+++ b/src/dns/resolver.h
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -52,8 +53,6 @@
   void Forget(Ticket ticket);  // it is not called any more
 
   const ResolverCounters& counters() const { return counters_; }
-  const Cache& cache() const { return cache_; }
-  std::size_t flights() const { return flights_.size() + line_.size(); }
 
  private:
   struct Flight {
@@ -62,7 +61,7 @@
     int aliases = 0, tries = 0;
     Seconds lifetime = 1e18;  // the least of the aliases that led here
     std::vector<int> asked;   // by server
-    bool edns = true, begun = false;
+    bool edns = true;
     std::size_t server = 0;
     std::uint16_t id = 0;
     bool by_tcp = false;
@@ -94,7 +93,7 @@
   Cache cache_;
   ResolverCounters counters_;
   Flights flights_;
-  std::vector<Question> line_;  // flights that wait for others to land, the last asked last
+  std::deque<Question> line_;  // flights that wait for others to land, the last asked last
   std::size_t flying_ = 0;
   std::vector<std::unique_ptr<TcpChannel>> channels_;  // by server
   std::map<Ticket, Question> tickets_;
--- a/src/pool/joined_pool.cpp
+++ b/src/pool/joined_pool.cpp
@@ -41,7 +41,6 @@
       listener_(listener),
       merge_([&] {
         PoolMerge merge(RulesOf(config));
-        for (const auto& name : settings.srv_names) merge.Watch(name.second);
         for (const auto& [destination, address] : settings.srv_own) merge.Own(destination, address);
         return merge;
       }()),
--- a/src/pool/merge.h
+++ b/src/pool/merge.h
@@ -49,8 +49,6 @@
  public:
   explicit PoolMerge(const MergeRules& rules) : rules_(rules) {}
 
-  // This destination's endpoints are also looked for by SRV. Before any news.
-  void Watch(long long destination) { destinations_[destination].watched = true; }
   // By the operators' file, whoever answers at this address is the destination's own.
   void Own(long long destination, const sockaddr_in& address);
 
@@ -86,7 +84,7 @@
     Verdict verdict = Verdict::kList;
   };
   struct Destination {
-    bool watched = false, not_offered = false;
+    bool not_offered = false;
     std::set<AddressKey> own;
     std::map<std::string, Endpoint> endpoints;   // by the id that they go by
     std::map<std::string, std::string> aliases;  // the list's id, where it goes by another
--- a/src/relay/admin.cpp
+++ b/src/relay/admin.cpp
@@ -2,23 +2,20 @@
 
 #include <utility>
 
+#include "relay/server_bounds.h"
+
 namespace opalroute {
 
 namespace {
 
 net::ServerBounds BoundsOf(const Limits& limits) {
-  net::ServerBounds bounds;
-  bounds.http = {limits.head_bytes, limits.header_count, limits.name_bytes};
+  net::ServerBounds bounds = ServerBoundsOf(limits);
+  bounds.http.body_bytes = limits.name_bytes;
   bounds.answer_bytes = limits.admin_bytes;
   bounds.connections = limits.admin_connections;
+  bounds.reject_connections = 0;
   bounds.requests_a_turn = 1;
-  bounds.first_time = bounds.request_time = limits.request_time;
-  bounds.idle_time = limits.client_idle;
-  bounds.rest_time = limits.client_rest;
-  bounds.silent_time = limits.client_silent;
-  bounds.linger_time = limits.client_linger;
-  bounds.linger_bytes = limits.linger_bytes;
-  bounds.reject_wait = limits.reject_wait;
+  bounds.first_time = limits.request_time;
   return bounds;
 }
 
--- /dev/null
+++ b/src/relay/server_bounds.h
@@ -0,0 +1,27 @@
+// What bounds the relay's own HTTP server, for clients; the operators' one takes the same and narrows it.
+#pragma once
+
+#include "config/limits.h"
+#include "net/http_server.h"
+
+namespace opalroute {
+
+inline net::ServerBounds ServerBoundsOf(const Limits& limits) {
+  net::ServerBounds bounds;
+  bounds.http = {limits.head_bytes, limits.header_count, limits.body_bytes};
+  bounds.answer_bytes = limits.head_bytes;
+  bounds.connections = limits.client_connections;
+  bounds.reject_connections = limits.reject_connections;
+  bounds.requests_a_turn = limits.requests_a_turn;
+  bounds.first_time = limits.first_time;
+  bounds.request_time = limits.request_time;
+  bounds.rest_time = limits.client_rest;
+  bounds.silent_time = limits.client_silent;
+  bounds.linger_time = limits.client_linger;
+  bounds.linger_bytes = limits.linger_bytes;
+  bounds.idle_time = limits.client_idle;
+  bounds.reject_wait = limits.reject_wait;
+  return bounds;
+}
+
+}  // namespace opalroute
--- a/src/relay/virtual_server.cpp
+++ b/src/relay/virtual_server.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "log/log.h"
+#include "relay/server_bounds.h"
 
 namespace opalroute {
 
@@ -35,24 +36,6 @@
   return found == 1;
 }
 
-net::ServerBounds BoundsOf(const Limits& limits) {
-  net::ServerBounds bounds;
-  bounds.http = {limits.head_bytes, limits.header_count, limits.body_bytes};
-  bounds.answer_bytes = limits.head_bytes;
-  bounds.connections = limits.client_connections;
-  bounds.reject_connections = limits.reject_connections;
-  bounds.requests_a_turn = limits.requests_a_turn;
-  bounds.first_time = limits.first_time;
-  bounds.request_time = limits.request_time;
-  bounds.rest_time = limits.client_rest;
-  bounds.silent_time = limits.client_silent;
-  bounds.linger_time = limits.client_linger;
-  bounds.linger_bytes = limits.linger_bytes;
-  bounds.idle_time = limits.client_idle;
-  bounds.reject_wait = limits.reject_wait;
-  return bounds;
-}
-
 net::HttpAnswer Plain(int status, const std::string& text) {
   return {status, {{"Content-Type", "text/plain"}}, text + "\n", 0};
 }
@@ -64,7 +47,7 @@
     : config_(config),
       counters_(counters),
       transactions_(transactions),
-      http_(loop, config.listen, BoundsOf(config.limits), *this) {}
+      http_(loop, config.listen, ServerBoundsOf(config.limits), *this) {}
 
 net::HttpAnswer VirtualServer::OnRequest(net::HttpMessage& request) {
   const std::string path = request.target.substr(0, request.target.find('?'));
--- a/tests/merge_test.cpp
+++ b/tests/merge_test.cpp
@@ -37,10 +37,7 @@
 // Plays a row's steps and follows what is told, as a relay does.
 class Stage {
  public:
-  Stage() : merge(Rules()) {
-    merge.Watch(kDestination);
-    merge.Own(kDestination, AddressOf('x'));
-  }
+  Stage() : merge(Rules()) { merge.Own(kDestination, AddressOf('x')); }
   void Play(const std::string& steps) {
     std::istringstream all(steps);
     for (std::string step; std::getline(all, step, ';');) Step(step);
