A few relays ask for the list at once again, before their restored notices

Seen: the recorded exchange torn.txt failed on the last build: 'wanted GET /registry/instances?follow=1&since=* and got POST /v1/notices' - eight relays or fewer asked at the turn's end instead of at once.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -141,7 +141,8 @@
       return;
     }
     const bool first = update.scope == ListScope::kRemembered && s_.ask_for_list;
-    if (first) ask_at_ = now_ + (s_.couriers > kKeepers ? AskSpread() * random_.Unit() : 0);
+    if (first && s_.couriers <= kKeepers) actions_->push_back(WatchList{true});
+    if (first && s_.couriers > kKeepers) ask_at_ = now_ + AskSpread() * random_.Unit();
     ask_backoff_ = 0;
     for (auto& [id, endpoint] : endpoints_) {  // what a whole list does not name is gone
       if (update.scope == ListScope::kChanges) break;
