--- a/include/opalroute/rules.h
+++ b/include/opalroute/rules.h
@@ -173,6 +173,19 @@
 struct Wake {
   std::uint64_t label{};
 };
+// How many couriers share limits and cold budgets by now, in place of Settings::couriers: those that are there.
+// 1 or more; more than the tier has where this one is to hold back.
+struct TierSize {
+  double parts = 1;
+};
+// What all couriers make of a zone together: this share of the ordinary sends goes there, from 0 to 1, where a
+// destination has endpoints elsewhere. With 0 nothing goes there but a scout's trials; above 0 again all of the
+// zone starts slowly.
+struct ZoneShare {
+  int zone{};
+  double share = 1;
+  bool scout = false;
+};
 struct Stopping {  // the process ends in so long: only what can come back before is still sent
   Seconds left{};
 };
@@ -200,7 +213,7 @@
 };
 
 using Event = std::variant<ListUpdate, NewMessage, Restored, AttemptOutcome, AnswerBegun, ProbeOutcome,
-                           Withdrawn, PeerNote, Learned, Wake, Stopping, TurnEnd>;
+                           Withdrawn, PeerNote, Learned, TierSize, ZoneShare, Wake, Stopping, TurnEnd>;
 
 // ---- actions -------------------------------------------------------------------------------
 
--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -31,6 +31,8 @@
       return "foreign_endpoint";
     case BreachKind::kPushedOver:
       return "pushed_over";
+    case BreachKind::kOverParts:
+      return "over_parts";
     case BreachKind::kOutOfTurn:
       return "out_of_turn";
   }
@@ -236,6 +238,16 @@
   breaches_.push_back({BreachKind::kPushedOver, now, relay, 0, 0, trace});
 }
 
+void Auditor::ToldParts(Seconds now, int relay, double parts) {
+  if (tier_size_ <= 0) return;
+  parts_[relay] = 1 / parts;
+  double sum = 0;
+  for (const auto& [other, part] : parts_) sum += part;
+  if (sum > 1 + 1.0 / tier_size_ + 1e-9) Report(BreachKind::kOverParts, now, relay, 0, 0);
+}
+
+void Auditor::LostParts(Seconds, int relay) { parts_.erase(relay); }
+
 void Auditor::Excuse(int relay, Seconds until) {
   Seconds& excused = excused_[relay];
   excused = std::max(excused, until);
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -27,6 +27,7 @@
   kDrained,        // sent to an endpoint longer after its drain was told than allowed
   kForeign,        // sent to an endpoint of another destination, or one that no list has named
   kPushedOver,     // a returning lane fell over, two thirds of it by relays that had seen the outage
+  kOverParts,      // relays together hold more than a whole and one part
   kOutOfTurn       // sent though an earlier one of its key was not over, or the key had to rest
 };
 const char* NameOf(BreachKind kind);
@@ -77,7 +78,11 @@
   void ReachedCold(Seconds now, int relay, std::uint64_t lane, bool fell_over);
   // Ends its waits and what it knew. What it held may be answered late until `excused`.
   void RelayDied(int relay, Seconds excused);
-  void Excuse(int relay, Seconds until);  // nothing that it holds is overdue before
+  // A tier of so many relays, each of which holds a part of every limit; 0: nobody looks.
+  void Tier(int size) { tier_size_ = size; }
+  void ToldParts(Seconds now, int relay, double parts);  // its process takes one of so many
+  void LostParts(Seconds now, int relay);                // it has ended
+  void Excuse(int relay, Seconds until);                 // nothing that it holds is overdue before
 
   const std::vector<Breach>& breaches() const { return breaches_; }
   int Count(BreachKind kind) const;
@@ -133,6 +138,8 @@
   std::map<std::uint64_t, std::deque<Weighed>> cold_;
   std::map<int, Seconds> excused_;
   std::map<std::pair<int, std::uint64_t>, KeyLine> key_lines_;  // by relay and key
+  int tier_size_ = 0;
+  std::map<int, double> parts_;  // by relay, of those that run
   std::vector<Breach> breaches_;
 };
 
--- a/lab/call.h
+++ b/lab/call.h
@@ -1,6 +1,8 @@
 // What is the same for a call that reaches its partner in simulated time and on sockets.
 #pragma once
 
+#include <algorithm>
+
 #include "lab/auditor.h"
 #include "lab/tally.h"
 #include "lab/world.h"
@@ -8,15 +10,23 @@
 
 namespace opalroute::lab {
 
-// The lane's verdict on a call whose last byte has come, with what auditor and tally have to know of it.
+// What becomes of a call whose last byte has come, with what auditor and tally have to know of it: its
+// machine is asked, and then the limit that it shares with others.
 inline LaneModel::Verdict TakeCall(World& world, Auditor& auditor, Tally& tally, Seconds now, int relay,
-                                   std::uint32_t number) {
-  LaneModel& lane = world.lane(number);
-  const bool cold = lane.ColdAt(now) && !lane.collapsed();
-  const LaneModel::Verdict verdict = lane.Take(now);
-  if (cold) auditor.ReachedCold(now, relay, number, verdict.fell_over);
-  if (verdict.fell_over) ++tally.result().collapses;
-  if (verdict.fate == LaneModel::Fate::kFull) tally.Full(now);
+                                   const PartnerEndpoint& endpoint) {
+  const auto take = [&](std::uint32_t number) {
+    LaneModel& lane = world.lane(number);
+    const bool cold = lane.ColdAt(now) && !lane.collapsed();
+    const LaneModel::Verdict verdict = lane.Take(now);
+    if (cold) auditor.ReachedCold(now, relay, number, verdict.fell_over);
+    if (verdict.fell_over) ++tally.result().collapses;
+    if (verdict.fate == LaneModel::Fate::kFull) tally.Full(now);
+    return verdict;
+  };
+  const LaneModel::Verdict machine = take(endpoint.machine);
+  if (endpoint.machine == endpoint.lane || machine.fate != LaneModel::Fate::kServed) return machine;
+  LaneModel::Verdict verdict = take(endpoint.lane);
+  if (verdict.fate == LaneModel::Fate::kServed) verdict.takes = std::max(verdict.takes, machine.takes);
   return verdict;
 }
 
--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -94,7 +94,11 @@
                                 {"probes", probes},
                                 {"collapses", collapses},
                                 {"client_doubles", client_doubles},
-                                {"events", events}};
+                                {"events", events},
+                                {"notes", notes},
+                                {"note_bytes", note_bytes},
+                                {"endpoint_calls", endpoint_calls},
+                                {"relay_calls", relay_calls}};
   for (const ClassOutcome& c : classes) {
     all["classes"][c.name] = {{"asked", c.asked},
                               {"delivered", c.delivered},
@@ -117,7 +121,16 @@
     all["seconds"]["watched_calls"].push_back(s.watched_calls);
     all["seconds"]["watched_capacity"].push_back(
         s.watched_capacity < 0 ? nlohmann::ordered_json() : nlohmann::ordered_json(s.watched_capacity));
+    all["seconds"]["zone_calls"].push_back(s.zone_calls);
   }
+  all["stages"] = nlohmann::json::array();
+  for (const StageChange& c : stage_changes)
+    all["stages"].push_back({{"at_s", c.at},
+                             {"relay", c.relay},
+                             {"zone", c.zone},
+                             {"round", c.round},
+                             {"step", c.step},
+                             {"heard", c.heard}});
   all["watched_partner"] = partners.empty() ? 0 : partners[static_cast<std::size_t>(watched)].number;
   all["partners"] = nlohmann::json::array();
   for (const PartnerOutcome& p : WorstPartners(20))
--- a/lab/result.h
+++ b/lab/result.h
@@ -35,6 +35,7 @@
 struct Second {
   int offered = 0, delivered = 0, refused = 0, failed = 0;  // by when they were due, or ended
   int calls = 0, full = 0;
+  std::vector<long> zone_calls;  // by zone
   int watched_calls = 0;         // at the partner that is watched closely
   double watched_capacity = -1;  // calls that it could do, a second; below 0: nobody has looked
 };
@@ -65,6 +66,14 @@
   std::string last_log;  // its last lines
 };
 
+struct StageChange {  // of a zone, at one relay
+  Seconds at = 0;
+  int relay = 0, zone = 0;
+  std::uint64_t round = 0;
+  std::string step;
+  bool heard = false;  // from another relay
+};
+
 struct RunResult {
   std::string scenario;
   std::uint64_t seed = 0;
@@ -84,6 +93,9 @@
   long collapses = 0;
   long client_doubles = 0;  // keyed effects doubled by clients that came again after the window
   long events = 0;
+  long notes = 0, note_bytes = 0;                 // between relays, by what was sent to each
+  std::vector<long> endpoint_calls, relay_calls;  // by endpoint and by relay
+  std::vector<StageChange> stage_changes;
   std::vector<Breach> breaches;
 
   double Worth() const;                                               // delivered over asked
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -283,9 +283,45 @@
                               {"freeze", RelayFault::Kind::kFreeze},
                               {"reload", RelayFault::Kind::kReload}});
     r.Whole("relay", f.relay, 0, s.relays - 1);
+    r.Whole("through", f.through, 0, s.relays - 1);
+    r.YesNo("forgets", f.forgets);
     r.Number("at_s", f.at, 0, kDay);
     r.Number("down_s", f.down, 0, kDay);
-    s.relay_faults.push_back(f);
+    const int last = std::max(f.relay, f.through);
+    for (; f.relay <= last; ++f.relay) s.relay_faults.push_back(f);
+  });
+}
+
+void ReadLinks(Reader& root, Scenario& s) {
+  root.YesNo("notes", s.notes);
+  root.YesNo("tier", s.tier);
+  root.YesNo("leave", s.leave);
+  root.YesNo("oracle", s.oracle);
+  if ((s.tier || s.leave) && !s.notes) root.Fault("notes", "must be true where 'tier' or 'leave' is");
+  root.Object("links", [&](Reader& r) {
+    r.Span("delay_s", s.links.delay, 0, 60);
+    r.Number("loss", s.links.loss, 0, 1);
+    r.Number("duplicate", s.links.duplicate, 0, 1);
+    r.Number("reorder", s.links.reorder, 0, 1);
+    r.Each("cuts", [&](Reader& c) {
+      Cut cut;
+      c.Word<Cut::What>("what", cut.what,
+                        {{"peers", Cut::What::kPeers},
+                         {"endpoints", Cut::What::kEndpoints},
+                         {"discovery", Cut::What::kDiscovery}});
+      if (c.Has("way"))
+        c.Word<Cut::Way>("way", cut.way,
+                         {{"both", Cut::Way::kBoth}, {"out", Cut::Way::kOut}, {"in", Cut::Way::kIn}});
+      c.Whole("first", cut.first, 0, s.relays - 1);
+      cut.last = cut.first;
+      c.Whole("last", cut.last, cut.first, s.relays - 1);
+      c.Whole("zone", cut.zone, 0, static_cast<int>(s.zones.size()) - 1);
+      c.Number("from_s", cut.from, 0, kDay);
+      c.Number("lasts_s", cut.lasts, 0, kDay);
+      c.Number("on_s", cut.on, 0, kDay);
+      c.Number("off_s", cut.off, 0, kDay);
+      s.links.cuts.push_back(cut);
+    });
   });
 }
 
@@ -340,11 +376,13 @@
     root.Span("list_late_s", s.list_late, 0, 60);
     ReadSettings(root, s);
     ReadTroubles(root, s);
+    ReadLinks(root, s);
     CheckShares(root, "classes", s.classes);
     CheckShares(root, "tenants", s.tenants);
   }
   faults.Throw();
   s.settings.couriers = s.relays;
+  s.settings.may_tell_peers = s.notes;
   s.settings.kinds = {{false, 1}, {true, s.partners.bundle}};
   for (const ClassPlan& c : s.classes) s.settings.classes.push_back(c.rules);
   for (const TenantPlan& t : s.tenants) s.settings.tenants.push_back({t.allowance});
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -9,6 +9,7 @@
 
 #include "lab/draw.h"
 #include "lab/lane_model.h"
+#include "lab/links.h"
 #include "opalroute/rules.h"
 
 namespace opalroute::lab {
@@ -45,6 +46,8 @@
   } kind{};
   int relay = 0;
   Seconds at = 0, down = 0;
+  int through = -1;      // above `relay`: all from that to this one
+  bool forgets = false;  // what it kept of tier and zones is gone
 };
 
 struct ClassPlan {
@@ -100,6 +103,11 @@
   Range one_way{0.005, 0.015};  // of the network, drawn for each relay and zone
   Seconds handshake = 0.001;    // a new connection costs the call a round trip and this
   Range list_late{1, 4};        // a change of the list reaches a relay so long after it was made
+  LinkPlan links;
+  bool notes = false;   // relays may send one another datagrams
+  bool tier = false;    // they follow who is there (src/tier) ...
+  bool leave = false;   // ... and leave failing zones together (src/zones)
+  bool oracle = false;  // every relay is told each zone's state at once, in place of that
   std::vector<Trouble> troubles;
   std::vector<PoolChange> pool_changes;
   std::vector<RelayFault> relay_faults;
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -45,7 +45,7 @@
 struct Simulation::Relay {
   int number = 0;
   std::uint32_t life = 0;
-  bool up = false, takes_on = false;
+  bool up = false, takes_on = false, stopping = false;
   Seconds frozen_until = 0;
   std::unique_ptr<Courier> module;
   std::deque<opalroute::Event> line;
@@ -75,10 +75,12 @@
           }(),
           scenario.settings.classes),
       tally_(world_, seed),
-      result_(tally_.result()) {
+      result_(tally_.result()),
+      tier_(s_, seed, *this, auditor_, result_) {
   listings_.assign(world_.endpoint_count(), Listing::kInService);
   for (EndpointId id = 1; id <= world_.endpoint_count(); ++id)
     auditor_.Listed(id, world_.endpoint(id).destination, world_.endpoint(id).lane);
+  auditor_.Tier(tier_.on() ? s_.relays : 0);
   for (int i = 0; i < s_.relays; ++i) {
     relays_.push_back(std::make_unique<Relay>());
     relays_.back()->number = i;
@@ -96,6 +98,7 @@
   }
   for (std::size_t i = 0; i < s_.pool_changes.size(); ++i) At(s_.pool_changes[i].at, {Kind::kChange, 0, i});
   for (std::size_t i = 0; i < s_.relay_faults.size(); ++i) At(s_.relay_faults[i].at, {Kind::kFault, 0, i});
+  if (s_.oracle) At(0, {Kind::kTruth});
   const Micros ends = ToMicros(EndOf(s_));
   Micros told = 0;
   while (!queue_.empty() && queue_.next() <= ends) {
@@ -119,7 +122,7 @@
 // What a relay does: a frozen one does it as soon as it may.
 bool Simulation::IsRelays(Kind kind) {
   return kind == Kind::kTurn || kind == Kind::kWake || kind == Kind::kNews || kind == Kind::kBack ||
-         kind == Kind::kUntil;
+         kind == Kind::kUntil || kind == Kind::kTick || kind == Kind::kNote || kind == Kind::kRefusal;
 }
 
 void Simulation::Play(const Payload& event) {
@@ -152,6 +155,11 @@
       return Publish(static_cast<EndpointId>(event.a), Listing::kGone);
     case Kind::kFault:
       return Strike(s_.relay_faults[event.a], event.b != 0);
+    case Kind::kTick:
+    case Kind::kNote:
+    case Kind::kRefusal:
+    case Kind::kTruth:
+      return PlayTier(event);
     case Kind::kTurn:
     case Kind::kWake:
     case Kind::kNews:
@@ -169,7 +177,34 @@
 
 ListEntry Simulation::EntryOf(EndpointId id, Listing listing) const {
   const PartnerEndpoint& e = world_.endpoint(id);
-  return {id, e.zone, e.kind, e.destination, listing, e.rating};
+  return {id, e.zone, e.kind, e.destination, listing, e.rating, id};
+}
+
+// ---- the tier ---------------------------------------------------------------------------------------
+
+bool Simulation::IsUp(int relay) const { return relays_[static_cast<std::size_t>(relay)]->up; }
+
+void Simulation::PostTo(int number, opalroute::Event event) {
+  Relay& relay = *relays_[static_cast<std::size_t>(number)];
+  if (relay.up && relay.module) Post(relay, std::move(event));
+}
+
+void Simulation::PlayTier(const Payload& event) {
+  if (event.kind == Kind::kTruth) {
+    tier_.TellTruth();
+    return At(now() + zones::Member::kTick, event);
+  }
+  if (event.kind == Kind::kNote) return tier_.Arrive(event.a);
+  if (event.kind == Kind::kRefusal) return tier_.Refused(event.relay, static_cast<int>(event.a));
+  Relay& relay = *relays_[static_cast<std::size_t>(event.relay)];
+  if (!relay.up || relay.life != event.life) return;
+  tier_.Tick(event.relay);
+  relay.takes_on = relay.takes_on || (!relay.stopping && tier_.Joined(event.relay));
+  At(now() + zones::Member::kTick, event);
+}
+
+bool Simulation::Reaches(int relay, const PartnerEndpoint& endpoint) const {
+  return !tier_.links().EndpointsCut(now(), relay, endpoint.zone);
 }
 
 // ---- relays -----------------------------------------------------------------------------------------
@@ -178,7 +213,13 @@
   Settings settings = s_.settings;
   settings.seed = (static_cast<std::uint64_t>(random_()) << 32) + random_();
   relay.module = std::make_unique<Courier>(settings);
-  relay.up = relay.takes_on = true;
+  relay.up = true;
+  relay.stopping = false;
+  tier_.Start(relay.number);
+  relay.takes_on = tier_.Joined(relay.number) || now() <= 0;
+  if (tier_.on())
+    At(now() + zones::Member::kTick * random_() / 4294967296.0,
+       {Kind::kTick, relay.number, 0, 0, relay.life});
   ListUpdate list;
   list.scope = ListScope::kWhole;
   for (EndpointId id = 1; id <= listings_.size(); ++id)
@@ -221,6 +262,8 @@
       At(wake->at, {Kind::kWake, relay.number, wake->label, 0, relay.life});
     } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
       relay.idle[close->endpoint].count = 0;
+    } else if (const auto* tell = std::get_if<TellPeers>(&action)) {
+      tier_.Tell(relay.number, tell->peer, tell->bytes);
     }
   }
   for (auto& [endpoint, batches] : std::exchange(relay.gathered, {}))
@@ -250,7 +293,9 @@
 void Simulation::StartCall(Relay& relay, EndpointId endpoint,
                            std::vector<std::pair<std::uint64_t, int>> members, bool probe) {
   const std::uint64_t number = ++last_call_;
-  tally_.Call(now(), world_.endpoint(endpoint).destination);
+  tally_.Call(now(), relay.number, endpoint);
+  for (std::size_t i = 0; i < std::max<std::size_t>(1, members.size()); ++i)
+    tier_.Sent(relay.number, EntryOf(endpoint, Listing::kInService));
   Call& call = calls_[number];
   call.relay = relay.number;
   call.life = relay.life;
@@ -266,13 +311,18 @@
   if (idle.last + kIdleTime < now()) idle.count = 0;
   const bool kept = idle.count > 0;
   if (kept) --idle.count;
-  const LaneModel& lane = world_.lane(e.lane);
+  const LaneModel& lane = world_.lane(e.machine);
+  const bool cut = !Reaches(relay.number, e);
   const bool gone = listings_[endpoint - 1] == Listing::kGone;
   const bool crowded = !kept && e.connections > 0 && ConnectionsTo(endpoint) >= e.connections;
-  call.connects = kept || !(gone || crowded || lane.RefusesConnections(now()) || lane.VanishedAt(now()));
+  call.connects =
+      kept || !(gone || crowded || cut || lane.RefusesConnections(now()) || lane.VanishedAt(now()));
   if (!call.connects) {
+    // A full table answers the first request on the new connection with 503 and ends it.
+    call.crowded = crowded && !gone && !cut && !lane.RefusesConnections(now()) && !lane.VanishedAt(now());
+    if (call.crowded) return At(now() + 4 * way + s_.handshake, {Kind::kBack, relay.number, number});
     call.in_outage = lane.OutAt(now());
-    const Seconds told = !gone && lane.VanishedAt(now()) ? kDialTime : 2 * way;
+    const Seconds told = !gone && (cut || lane.VanishedAt(now())) ? kDialTime : 2 * way;
     return At(now() + told, {Kind::kBack, relay.number, number});
   }
   ++idle.busy;
@@ -304,9 +354,12 @@
 void Simulation::Reach(std::uint64_t number) {
   Call& call = calls_.at(number);
   const PartnerEndpoint& e = world_.endpoint(call.endpoint);
-  call.in_outage = world_.lane(e.lane).OutAt(now());
-  call.verdict = TakeCall(world_, auditor_, tally_, now(), call.relay, e.lane);
-  if (call.probe) call.verdict.wait = 0;  // what answers a probe says 503 at most
+  call.in_outage = world_.lane(e.machine).OutAt(now());
+  if (Reaches(call.relay, e))
+    call.verdict = TakeCall(world_, auditor_, tally_, now(), call.relay, e);
+  else
+    call.verdict.fate = LaneModel::Fate::kHangs;  // what is open stays open and silent
+  if (call.probe) call.verdict.wait = 0;          // what answers a probe says 503 at most
   if (call.verdict.ran)
     for (const auto& [id, attempt] : call.members) auditor_.Ran(now(), id);
   // One that hangs never comes back: its relay gives it up.
@@ -330,6 +383,7 @@
   EndConnection(call);
   const PartnerEndpoint& e = world_.endpoint(call.endpoint);
   Outcome outcome = call.connects ? OutcomeOf(call.verdict.fate) : Outcome::kConnectFailed;
+  if (call.crowded) outcome = call.probe ? Outcome::kFull : Outcome::kCrowded;
   if (call.probe && call.verdict.fate == LaneModel::Fate::kHangs) outcome = Outcome::kTimeout;
   if (call.connects &&
       (outcome == Outcome::kServed || outcome == Outcome::kFull || outcome == Outcome::kError)) {
@@ -339,13 +393,14 @@
   }
   // What the relay has given up it reads no more: it learns nothing from it.
   if (!Awaited(call)) return;
-  if (outcome != Outcome::kServed && call.in_outage) auditor_.SawOutage(relay.number, e.lane);
+  if (outcome != Outcome::kServed && call.in_outage) auditor_.SawOutage(relay.number, e.machine);
   if (call.verdict.wait > 0) auditor_.ToldWait(now(), relay.number, e.lane, call.verdict.wait);
   if (call.probe) {
     ProbeOutcome told;
     told.endpoint = call.endpoint;
     told.outcome = outcome;
     told.duration = now() - call.sent;
+    tier_.Ended(relay.number, EntryOf(call.endpoint, Listing::kInService), outcome, told.duration);
     return Post(relay, told);
   }
   for (const auto& [id, attempt] : call.members) EndAttempt(id, attempt, outcome, call.verdict.wait);
@@ -363,7 +418,7 @@
     // Effects are told by members: they stay, unless its last byte has arrived already.
     const bool reached = call->second.verdict.takes > 0;
     if (outcome == Outcome::kTimeout && call->second.in_outage)
-      auditor_.SawOutage(call->second.relay, world_.endpoint(call->second.endpoint).lane);
+      auditor_.SawOutage(call->second.relay, world_.endpoint(call->second.endpoint).machine);
     const auto member = std::find(members.begin(), members.end(), std::make_pair(id, attempt));
     if (reached && member != members.end()) members.erase(member);
     if (members.empty() && call->second.verdict.fate == LaneModel::Fate::kHangs) {
@@ -402,6 +457,7 @@
   told.duration = now() - a.sent;
   told.wait = wait;
   told.over = h.over;
+  tier_.Ended(relay.number, EntryOf(a.endpoint, Listing::kInService), outcome, told.duration);
   ForgetIfDone(id);
   Post(relay, told);
 }
@@ -488,6 +544,10 @@
 }
 
 void Simulation::TellNews(Relay& relay, const World::ListChange& change) {
+  if (tier_.links().DiscoveryCut(now(), relay.number)) {  // it hears what it has missed once it hears again
+    const auto index = static_cast<std::uint64_t>(&change - changes_.data());
+    return At(now() + 0.25, {Kind::kNews, relay.number, index, 0, relay.life});
+  }
   if (change.listing != Listing::kInService) auditor_.ToldDrain(now(), relay.number, change.endpoint);
   ListUpdate update;
   update.scope = ListScope::kChanges;
@@ -516,11 +576,14 @@
   }
   if (fault.kind == RelayFault::Kind::kStop && !forced) {
     relay.takes_on = false;
+    relay.stopping = true;
     Post(relay, Stopping{kStopTime});
     const auto index = static_cast<std::uint64_t>(&fault - s_.relay_faults.data());
     return At(now() + kStopTime, {Kind::kFault, relay.number, index, 1});
   }
+  if (fault.kind == RelayFault::Kind::kStop) tier_.Leave(relay.number);
   relay.up = relay.takes_on = false;
+  tier_.Stop(relay.number, fault.forgets);
   relay.frozen_until = 0;
   ++relay.life;
   relay.module.reset();
--- a/lab/simulation.h
+++ b/lab/simulation.h
@@ -12,16 +12,17 @@
 #include "lab/auditor.h"
 #include "lab/event_queue.h"
 #include "lab/tally.h"
+#include "lab/tier_play.h"
 #include "lab/traffic.h"
 #include "lab/world.h"
 #include "opalroute/rules.h"
 
 namespace opalroute::lab {
 
-class Simulation {
+class Simulation : private TierPlay::Host {
  public:
   Simulation(const Scenario& scenario, std::uint64_t seed);
-  ~Simulation();
+  ~Simulation() override;
 
   // `progress` is told the simulated second from time to time.
   RunResult Run(const std::function<void(Seconds)>& progress = nullptr);
@@ -39,7 +40,11 @@
     kChange,   // the list changes, a: of the scenario
     kGone,     // a drained endpoint's machine goes, a: endpoint
     kFault,    // strikes a relay, a: of the scenario
-    kUp        // a relay starts again
+    kUp,       // a relay starts again
+    kTick,     // of a relay as a member of its tier
+    kNote,     // a datagram reaches a relay, a: its number
+    kRefusal,  // of a datagram by the machine of another relay, a: that relay
+    kTruth     // the oracle speaks
   };
   struct Payload {
     Kind kind{};
@@ -73,7 +78,7 @@
     EndpointId endpoint = 0;
     Seconds sent = 0;
     std::vector<std::pair<std::uint64_t, int>> members;  // id and attempt, as long as the relay awaits them
-    bool probe = false, connects = true, in_outage = false;
+    bool probe = false, connects = true, crowded = false, in_outage = false;
     LaneModel::Verdict verdict;
   };
   struct Relay;
@@ -82,6 +87,16 @@
   Seconds now() const { return static_cast<double>(now_) * 1e-6; }
   void At(Seconds when, Payload payload) { queue_.Push(std::max(now_, ToMicros(when)), payload); }
   static bool IsRelays(Kind kind);
+  // TierPlay::Host
+  Seconds TierNow() const override { return now(); }
+  bool IsUp(int relay) const override;
+  void PostTo(int relay, opalroute::Event event) override;
+  void NoteAt(Seconds when, int relay, std::uint64_t note) override { At(when, {Kind::kNote, relay, note}); }
+  void RefusalAt(Seconds when, int relay, int peer) override {
+    At(when, {Kind::kRefusal, relay, static_cast<std::uint64_t>(peer)});
+  }
+  void PlayTier(const Payload& event);
+  bool Reaches(int relay, const PartnerEndpoint& endpoint) const;
   void Play(const Payload& event);
 
   void StartRelay(Relay& relay);
@@ -117,6 +132,7 @@
   Auditor auditor_;
   Tally tally_;
   RunResult& result_;
+  TierPlay tier_;
   HeapQueue<Payload> queue_;
   Micros now_ = 0;
   std::vector<std::unique_ptr<Relay>> relays_;
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -36,11 +36,16 @@
 // One connection of a relay; it brings one call after another.
 class Endpoints::Session : public net::Connection::Owner {
  public:
-  Session(Endpoints& all, EndpointId endpoint, int relay)
-      : all_(all), endpoint_(endpoint), relay_(relay), parser_(net::HttpParser::Kind::kRequest, kBounds) {}
+  // `crowded`: the endpoint's table is full. Its first request hears so, and the connection ends.
+  Session(Endpoints& all, EndpointId endpoint, int relay, bool crowded)
+      : all_(all),
+        endpoint_(endpoint),
+        relay_(relay),
+        crowded_(crowded),
+        parser_(net::HttpParser::Kind::kRequest, kBounds) {}
   ~Session() override {
     all_.loop_.Cancel(timer_);
-    all_.Left(endpoint_);
+    if (!crowded_) all_.Left(endpoint_);
   }
 
   bool Open(int fd) {
@@ -70,7 +75,7 @@
   // It is over: its relay has given up, or its machine goes. A call on its way still arrives.
   void End(Outcome outcome) {
     const LaneModel& lane = Lane();
-    if (phase_ != Phase::kRests && lane.OutAt(all_.now())) all_.auditor_.SawOutage(relay_, LaneNumber());
+    if (phase_ != Phase::kRests && lane.OutAt(all_.now())) all_.auditor_.SawOutage(relay_, Machine());
     for (const Member& member : std::exchange(awaited_, {}))
       if (member.attempt != Ledger::kVoid) all_.ledger_.Over(all_.now(), member.id, member.attempt, outcome);
     if (phase_ == Phase::kComing && !std::exchange(left_, true)) return connection_->Close();
@@ -86,7 +91,8 @@
   };
 
   std::uint32_t LaneNumber() const { return all_.world_.endpoint(endpoint_).lane; }
-  LaneModel& Lane() const { return all_.world_.lane(LaneNumber()); }
+  std::uint32_t Machine() const { return all_.world_.endpoint(endpoint_).machine; }
+  LaneModel& Lane() const { return all_.world_.lane(Machine()); }
 
   void Begin(const net::HttpMessage& request) {
     probe_ = request.method == "GET" && (request.target == "/health/live" || request.target == "/stats");
@@ -98,7 +104,7 @@
     const Seconds now = all_.now();
     for (Member& member : members_) member.attempt = all_.ledger_.Arrived(now, relay_, member.id, endpoint_);
     awaited_ = members_;
-    all_.tally_.Call(now, all_.world_.endpoint(endpoint_).destination);
+    all_.tally_.Call(now, relay_, endpoint_);
     if (probe_) ++all_.tally_.result().probes;
     phase_ = Phase::kComing;
     const Seconds way = all_.WayOf(endpoint_, relay_);
@@ -132,12 +138,19 @@
   void Take() {
     phase_ = Phase::kWorks;
     const Seconds now = all_.now();
+    if (crowded_) {
+      for (const Member& member : std::exchange(awaited_, {}))
+        if (member.attempt != Ledger::kVoid)
+          all_.ledger_.Over(now, member.id, member.attempt, Outcome::kCrowded);
+      connection_->Write(net::WriteAnswer(503, {{"Connection", "close"}}, {}));
+      return all_.sessions_.Drop(*this);
+    }
     const bool all_void = !probe_ && std::all_of(members_.begin(), members_.end(), [](const Member& member) {
       return member.attempt == Ledger::kVoid;
     });
     if (all_void) return left_ ? all_.sessions_.Drop(*this) : Answer({});
     const LaneModel::Verdict verdict =
-        TakeCall(all_.world_, all_.auditor_, all_.tally_, now, relay_, LaneNumber());
+        TakeCall(all_.world_, all_.auditor_, all_.tally_, now, relay_, all_.world_.endpoint(endpoint_));
     if (verdict.ran)
       for (const Member& member : members_)
         if (member.attempt != Ledger::kVoid) all_.ledger_.Ran(now, member.id);
@@ -149,7 +162,7 @@
   void Answer(const LaneModel::Verdict& verdict) {
     const Seconds now = all_.now();
     if (verdict.fate != LaneModel::Fate::kServed && Lane().OutAt(now))
-      all_.auditor_.SawOutage(relay_, LaneNumber());
+      all_.auditor_.SawOutage(relay_, Machine());
     if (verdict.fate == LaneModel::Fate::kReset) return End(Outcome::kReset);
     if (verdict.fate == LaneModel::Fate::kSpoilt) {
       connection_->Write("HTTP/1.1 2xx fine\r\nContent-Length: many\r\n\r\n");
@@ -191,6 +204,7 @@
   Endpoints& all_;
   const EndpointId endpoint_;
   const int relay_;
+  const bool crowded_;
   std::unique_ptr<net::Connection> connection_;
   net::HttpParser parser_;
   Phase phase_ = Phase::kRests;
@@ -218,9 +232,8 @@
                                                          [this, relay](int fd) { Accept(fd, relay); }));
   }
   for (EndpointId id = 1; id <= world.endpoint_count(); ++id) {
-    const auto& outages = world.lane(world.endpoint(id).lane).outages();
-    if (world.endpoint(id).connections == 0 &&
-        std::none_of(outages.begin(), outages.end(), [](const LaneOutage& outage) {
+    const auto& outages = world.lane(world.endpoint(id).machine).outages();
+    if (std::none_of(outages.begin(), outages.end(), [](const LaneOutage& outage) {
           return outage.kind == TroubleKind::kRefuse || outage.kind == TroubleKind::kVanish;
         }))
       continue;
@@ -245,29 +258,23 @@
 
 void Endpoints::Tend(Door& door) {
   const int relay = door.relay;
-  if (door.refuses || door.hole != nullptr || Crowded(door.endpoint))
+  if (door.refuses || door.hole != nullptr)
     door.listener.reset();
   else if (door.listener == nullptr)
     door.listener =
         std::make_unique<net::Listener>(loop_, door.address, [this, relay](int fd) { Accept(fd, relay); });
 }
 
-void Endpoints::TendDoorsOf(EndpointId endpoint) {
-  for (auto it = doors_.lower_bound({endpoint, 0}); it != doors_.end() && it->first.first == endpoint; ++it)
-    Tend(it->second);
-}
-
 void Endpoints::Left(EndpointId endpoint) {
   if (ending_ || world_.endpoint(endpoint).connections == 0) return;
   --taken_[endpoint];
-  TendDoorsOf(endpoint);
 }
 
 void Endpoints::Begin(net::Seconds start) {
   start_ = start;
   for (auto& [key, value] : doors_) {
     Door& door = value;
-    for (const LaneOutage& outage : world_.lane(world_.endpoint(door.endpoint).lane).outages()) {
+    for (const LaneOutage& outage : world_.lane(world_.endpoint(door.endpoint).machine).outages()) {
       if (outage.kind != TroubleKind::kRefuse && outage.kind != TroubleKind::kVanish) continue;
       loop_.At(start + outage.from, [this, &door, kind = outage.kind] {
         door.refuses = true;
@@ -299,14 +306,11 @@
   const EndpointId endpoint = EndpointAt(net::BoundAddress(fd));
   const bool there = endpoint >= 1 && endpoint <= world_.endpoint_count() &&
                      (endpoint >= gone_.size() || !gone_[endpoint]) &&
-                     !world_.lane(world_.endpoint(endpoint).lane).collapsed();
-  if (!there || Crowded(endpoint)) return Reset(fd);
-  if (world_.endpoint(endpoint).connections > 0) {
-    ++taken_[endpoint];
-    // The listener that is at it can't be closed within its own turn.
-    loop_.At(loop_.Now(), [this, endpoint] { TendDoorsOf(endpoint); });
-  }
-  sessions_.Adopt(std::make_unique<Session>(*this, endpoint, relay), fd);
+                     !world_.lane(world_.endpoint(endpoint).machine).collapsed();
+  if (!there) return Reset(fd);
+  const bool crowded = Crowded(endpoint);
+  if (!crowded && world_.endpoint(endpoint).connections > 0) ++taken_[endpoint];
+  sessions_.Adopt(std::make_unique<Session>(*this, endpoint, relay, crowded), fd);
 }
 
 void Endpoints::Remove(EndpointId endpoint) {
--- a/lab/sockets/endpoints.h
+++ b/lab/sockets/endpoints.h
@@ -34,8 +34,8 @@
 
  private:
   class Session;
-  // An endpoint that refuses connections at times, is cut off, or takes only so many, has a listener of its
-  // own for each relay, which is closed meanwhile.
+  // An endpoint that refuses connections at times, or is cut off, has a listener of its own for each relay,
+  // which is closed meanwhile.
   struct Door {
     EndpointId endpoint = 0;
     int relay = 0;
@@ -48,7 +48,6 @@
   Seconds WayOf(EndpointId endpoint, int relay) const;
   void Accept(int fd, int relay);
   void Tend(Door& door);  // open or closed, as it should be now
-  void TendDoorsOf(EndpointId endpoint);
   bool Crowded(EndpointId endpoint) const;
   void Left(EndpointId endpoint);  // a connection has ended
 
--- a/lab/tally.cpp
+++ b/lab/tally.cpp
@@ -59,11 +59,19 @@
   ++SecondAt(now).failed;
 }
 
-void Tally::Call(Seconds now, DestinationId destination) {
+void Tally::Call(Seconds now, int relay, EndpointId id) {
+  const PartnerEndpoint& endpoint = world_.endpoint(id);
+  const auto count = [](std::vector<long>& counts, std::size_t at) {
+    if (counts.size() <= at) counts.resize(at + 1);
+    ++counts[at];
+  };
+  count(SecondAt(now).zone_calls, static_cast<std::size_t>(endpoint.zone));
+  count(result_.endpoint_calls, id - 1);
+  count(result_.relay_calls, static_cast<std::size_t>(relay));
   ++result_.calls;
   Second& second = SecondAt(now);
   ++second.calls;
-  const auto partner = static_cast<std::size_t>(destination - 1);
+  const auto partner = static_cast<std::size_t>(endpoint.destination - 1);
   ++result_.partners[partner].calls;
   if (static_cast<int>(partner) == result_.watched) ++second.watched_calls;
 }
@@ -74,7 +82,7 @@
   if (outcome == Outcome::kError) ++result_.errors;
   if (outcome == Outcome::kFull) ++result_.full;
   if (outcome == Outcome::kTimeout) ++result_.timeouts;
-  if (outcome == Outcome::kConnectFailed) ++result_.unconnected;
+  if (outcome == Outcome::kConnectFailed || outcome == Outcome::kCrowded) ++result_.unconnected;
   if (outcome == Outcome::kReset) ++result_.resets;
 }
 
--- a/lab/tally.h
+++ b/lab/tally.h
@@ -18,7 +18,7 @@
   void Delivered(const Arrival& arrival, Seconds now);  // once a message of a client
   void Refused(Seconds now);
   void Failed(Seconds now);
-  void Call(Seconds now, DestinationId destination);
+  void Call(Seconds now, int relay, EndpointId endpoint);
   void Full(Seconds now);
   void AttemptEnded(Outcome outcome);
   void Sample(Seconds now);  // once a second: what the watched partner could do
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <set>
+#include <utility>
 
 namespace opalroute::lab {
 
@@ -48,7 +49,22 @@
       endpoint.destination = partner.id;
       endpoint.zone = static_cast<int>(random_(static_cast<std::uint32_t>(scenario.zones.size())));
       endpoint.kind = partner.apart ? 1 : 0;
-      endpoint.lane = partner.apart ? AddLane(lane, OutagesOf(i, endpoint.zone)) : shared;
+      std::vector<LaneOutage> own = OutagesOf(i, endpoint.zone);
+      if (partner.apart) {
+        const auto all = OutagesOf(i, -1);
+        own.insert(own.end(), all.begin(), all.end());
+        std::sort(own.begin(), own.end(),
+                  [](const LaneOutage& a, const LaneOutage& b) { return a.from < b.from; });
+        shared = AddLane(lane, std::exchange(own, {}));
+      }
+      endpoint.lane = endpoint.machine = shared;
+      if (!own.empty()) {  // one of several under a shared limit: its machine goes out alone
+        LaneSettings machine = lane;
+        machine.limit = machine.tells_wait = 0;
+        machine.capacity = lane.capacity / endpoints;
+        machine.queue = -1;
+        endpoint.machine = AddLane(machine, std::move(own));
+      }
       const double rough = scenario.settings.rating == RatingMeaning::kRough ? 0.5 + Unit() : 1;
       endpoint.rating = lane.limit * rough;
       if (plan.connections.most > 0)
@@ -82,7 +98,7 @@
   std::vector<LaneOutage> outages;
   for (std::size_t t = 0; t < scenario_.troubles.size(); ++t) {
     const Trouble& trouble = scenario_.troubles[t];
-    if (!struck_by_[t][partner] || (trouble.zone >= 0 && zone >= 0 && trouble.zone != zone)) continue;
+    if (!struck_by_[t][partner] || trouble.zone != zone) continue;
     outages.push_back(
         {trouble.kind, trouble.from, trouble.from + trouble.lasts, trouble.chance, trouble.factor});
   }
@@ -141,6 +157,7 @@
 EndpointId World::Replace(EndpointId old) {
   PartnerEndpoint endpoint = endpoints_[old - 1];
   if (endpoint.kind == 1) endpoint.lane = AddLane(lanes_[endpoint.lane]->settings(), {});
+  endpoint.machine = endpoint.lane;
   const EndpointId fresh = AddEndpoint(endpoint);
   partners_[static_cast<std::size_t>(endpoint.destination - 1)].endpoints.push_back(fresh);
   return fresh;
--- a/lab/world.h
+++ b/lab/world.h
@@ -17,8 +17,10 @@
   DestinationId destination = 0;
   int zone = 0, kind = 0;
   double rating = 0;
-  std::uint32_t lane = 0;  // in World::lanes
-  int connections = 0;     // that it takes from all relays; 0: no limit
+  std::uint32_t lane = 0;  // in World::lanes: its limit
+  std::uint32_t machine =
+      0;                // there too: what goes out and comes back; where nothing strikes it alone, `lane`
+  int connections = 0;  // that it takes from all relays; 0: no limit
 };
 
 struct WorldPartner {
@@ -61,6 +63,7 @@
 
  private:
   LaneSettings LaneOf(double load, double limit);
+  // Of that zone alone, or with -1 of what strikes all zones.
   std::vector<LaneOutage> OutagesOf(std::size_t partner, int zone) const;
   std::uint32_t AddLane(const LaneSettings& settings, std::vector<LaneOutage> outages);
   EndpointId AddEndpoint(PartnerEndpoint endpoint);
--- a/src/parts.h
+++ b/src/parts.h
@@ -40,6 +40,11 @@
     tokens = std::min(depth, tokens + rate * std::max(0.0, now - filled));
     filled = now;
   }
+  bool Take() {
+    const bool there = tokens >= 1;
+    if (there) tokens -= 1;
+    return there;
+  }
   Seconds Wait(double rate) const { return tokens >= 1 ? 0 : rate > 0 ? (1 - tokens) / rate : kNever; }
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,6 +1,5 @@
 // The decision module: every decision of a courier, its tables and its tuned values. Interface: rules.h
-// Reads in the order of a message's life. The ordinary path of a send is NetClone's rule (docs/design.md);
-// each departure is marked DEPARTURE.
+// In the order of a message's life. An ordinary send is NetClone's rule (docs/design.md); else DEPARTURE.
 #include "opalroute/rules.h"
 
 #include <algorithm>
@@ -28,33 +27,32 @@
 constexpr double kChance = 2;              // standard deviations kept free for chance under that part
 constexpr double kTrialKept = 0.1;         // of overload_for: a due trial may wait so long for a slot
 constexpr double kFirstTrial = 1.0 / 3;    // of that part: for the first trials, soon after the outage is met
-constexpr int kBadToDoubt = 2;    // bad outcomes of a lane in a row that put it in doubt, of every other ...
-constexpr double kLenient = 0.5;  // ... courier one more
-constexpr int kBadIfServed = 4;   // the same where the lane served us within ramp_time
-constexpr double kRefusalBackoff = 0.01;  // of overload_for, for each courier: the first after a refusal
-constexpr double kMostBackoff = 0.7;      // of overload_for: that first backoff is no longer
-constexpr double kPaceCut = 0.7;          // pace after a refusal, of an even share at most
-constexpr double kPaceRegain = 0.4;       // of ramp_time: pace grows by an even share of the limit in this
-constexpr double kLeastPaceShare = 0.2;   // of an even share of a known limit: pace never falls under it
+constexpr int kBadToDoubt = 2;             // bad outcomes of a lane in a row that put it in doubt
+constexpr int kBadIfServed = 4;            // the same where the lane served us within ramp_time
+constexpr double kRefusalBackoff = 0.01;   // of overload_for, for each courier: the first after a refusal
+constexpr double kMostBackoff = 0.7;       // of overload_for: that first backoff is no longer
+constexpr double kPaceCut = 0.7;           // pace after a refusal, of an even share at most
+constexpr double kPaceRegain = 0.4;        // of ramp_time: pace grows by an even share of the limit in this
+constexpr double kLeastPaceShare = 0.2;    // of an even share of a known limit: pace never falls under it
 constexpr double kPaceDepth = 0.2;     // of overload_for: pace that may leave at once; one cut in this span
 constexpr double kSickSlots = 0.3;     // of the slots: at most so many in all endpoints that are slow or out
 constexpr double kBundleWork = 0.2;    // of a call: what each further message of a bundle may add; not told
-constexpr double kReclaimAfter = 1.5;  // patiences after which a call is thought lost and may lose its slot
+constexpr double kReclaimAfter = 1.5;  // patiences after which a call is thought lost
 constexpr double kRoomKept = 0.05;     // of the room: kept free for newcomers
 constexpr double kJitter = 0.25;       // either way, of every wait of our own
 constexpr double kAskSpread = 0.05;  // seconds for each courier: asked in step, discovery is idle in between
 constexpr int kKeepers = 8;          // couriers that may all keep idle connections: a table is hardly smaller
 constexpr double kCrowdedFor = 4;    // ramp_times after one was turned away: connections go when unused
 constexpr double kStopSpread = 2;   // usual latencies before the process ends: later a call is likely cut off
+constexpr double kScouts = 3;       // couriers that try a zone that all have left
 constexpr double kTenantBurst = 4;  // seconds of a tenant's allowance that may come at once
 
 struct Lane {        // what has one limit: a destination, or a route where routes are apart
   double limit = 0;  // calls a second from all couriers; 0: not known
   double pace = kNever;
   TokenBucket bucket, warming;
-  bool cold = false;     // out for all we know, or back for less than ramp_time: rule 4 binds all calls
-  bool lenient = false;  // one more bad outcome before doubt
-  int bad = 0;           // failures and refusals since the last served call, one sent after the other
+  bool cold = false;  // out for all we know, or back for less than ramp_time: rule 4 binds all calls
+  int bad = 0;        // failures and refusals since the last served call, one sent after the other
   Seconds last_served = -kNever, bad_at = -kNever, next_trial = -kNever;
   Seconds ramp_from = kNever;                           // the first served call after an outage
   Seconds held_until = -kNever, pause_until = -kNever;  // told to wait (rule 5); backoff of our own
@@ -70,13 +68,10 @@
   std::multiset<Seconds> out;             // send times of the calls that are out
   bool unmet = true, latest_good = true;  // good: the latest outcome was served within the aim
   Latency latency;
-  Seconds last_served = -kNever;
+  Seconds last_served = -kNever, opened_at = 0, crowded_at = -kNever;  // crowded: short of connections
   Circuit circuit = Circuit::kClosed;
-  Seconds opened_at = 0;
-  bool never_ran = false;  // the latest failure proved that the call did not run
-  bool probing = false;
-  int failures = 0;              // in a row
-  Seconds crowded_at = -kNever;  // short of connections
+  bool probing = false, never_ran = false;  // never ran: the latest failure proved it of its call
+  int failures = 0;                         // in a row
 };
 
 struct Destination {
@@ -175,7 +170,7 @@
     Lane& lane = *e.lane;
     least_limit_[e.kind] = std::min(least_limit_[e.kind], limit);
     if (std::exchange(lane.limit, limit) <= 0) {
-      const double start = limit / s_.couriers;  // where that is no call in many seconds
+      const double start = limit / parts_;  // where that is no call in many seconds
       if (limit * s_.overload_for > s_.couriers) lane.pace = std::min(lane.pace, start);
       lane.bucket = {1, std::max(lane.bucket.filled, now_)};
     }
@@ -183,8 +178,28 @@
   }
 
   // Danger: an N-th of a limit is a call in many seconds. A share is never less than a call in overload_for.
-  double EvenShare(const Lane& lane) const {
-    return lane.limit > 0 ? lane.limit / s_.couriers : 1 / s_.overload_for;
+  double EvenShare(const Lane& l) const { return l.limit > 0 ? l.limit / parts_ : 1 / s_.overload_for; }
+
+  // ---- the tier ----------------------------------------------------------------------------
+
+  void On(const TierSize& told) { parts_ = std::max(1.0, told.parts); }
+  void On(const ZoneShare& told) {
+    const double before = std::exchange(zones_[told.zone], told).share;
+    for (auto& [id, e] : endpoints_) {
+      if (e.zone == told.zone && told.scout) Open(e, false);  // it is tried, and no more
+      if (e.zone != told.zone || before > 0 || told.share <= 0 || !IsApart(e)) continue;
+      e.lane->cold = true;  // Danger: nobody has called it since, and all come back at this moment
+      StartSlowly(*e.lane);
+      if (e.circuit == Circuit::kOpen) e.circuit = Circuit::kHalfOpen;
+    }
+  }
+  // Never the last zone of a destination: only where another has an endpoint that serves, as far as is known.
+  bool IsLeft(const Destination& d, const Endpoint& e) {
+    const ZoneShare order = zones_[e.zone];
+    if (order.scout || order.share >= 1 || (order.share > 0 && random_.Unit() < order.share)) return false;
+    return std::any_of(d.endpoints.begin(), d.endpoints.end(), [this](const Endpoint* o) {
+      return o->listing == Listing::kInService && o->circuit != Circuit::kOpen && zones_[o->zone].share >= 1;
+    });
   }
 
   // ---- a message is taken ------------------------------------------------------------------
@@ -227,11 +242,9 @@
 
   bool TakeShare(int tenant) {  // an even part of the allowance; what comes above it has little worth
     TokenBucket& bucket = tenant_buckets_[tenant];
-    const double rate = s_.tenants[tenant].allowance / s_.couriers;
+    const double rate = s_.tenants[tenant].allowance / parts_;
     bucket.Fill(now_, rate, kTenantBurst * rate);
-    if (bucket.tokens < 1) return false;
-    bucket.tokens -= 1;
-    return true;
+    return bucket.Take();
   }
 
   // Rule 6: the head of a key's line may go once the rest after an attempt that may still run is over.
@@ -313,7 +326,7 @@
     Seconds at = m.deadline;
     if (m.out == 0) {
       const auto bounds = BoundsOf(m);
-      at -= std::max(2 * s_.tick, std::min(UsualLatency(destinations_[m.destination]),
+      at -= std::max(2 * s_.tick, std::min(Usual(destinations_[m.destination]),
                                            0.1 * s_.classes[m.message_class].deadline));
       if (bounds) at = std::min(at, bounds->until);
     }
@@ -322,11 +335,8 @@
     expiries_.insert({at, m.message});
   }
 
-  Seconds UsualLatency(const Destination& d) const {
-    return (d.latency.mean > 0 ? d.latency : all_latency_).mean;
-  }
+  Seconds Usual(const Destination& d) const { return (d.latency.mean > 0 ? d.latency : all_latency_).mean; }
 
-  // What a message of this class is worth if it is served at this age.
   double WorthAt(const BucketKey& bucket, Seconds age) const {
     const MessageClass& c = s_.classes[std::get<0>(bucket)];
     const double worth = c.worth * (std::get<1>(bucket) ? s_.over_share_worth : 1);
@@ -413,31 +423,24 @@
 
   // Danger: lost calls hold slots. With none free, the call out longest beyond reason is called off.
   void ReclaimSlot() {
-    if (!s_.may_cancel) return;
-    Call* oldest = nullptr;
     for (auto& [id, call] : calls_) {  // in the order sent
-      if (call.called_off) continue;
       Endpoint& e = endpoints_.at(call.endpoint);
       WatchForStall(e);
       const Seconds reason = kReclaimAfter * PatienceWith(e) * BundleStretch(Count(call.attempts));
-      if (oldest == nullptr && now_ - call.sent >= reason) oldest = &call;
-    }
-    if (oldest == nullptr) return;
-    oldest->called_off = true;
-    for (const auto& [id, attempt] : oldest->attempts) {
-      const auto m = messages_.find(id);
-      if (m != messages_.end() && m->second.attempts[attempt].out) actions_->push_back(Cancel{id, attempt});
+      if (!s_.may_cancel || now_ - call.sent < reason || std::exchange(call.called_off, true)) continue;
+      for (const auto& [m, attempt] : call.attempts) actions_->push_back(Cancel{m, attempt});
+      return;
     }
   }
 
   Seconds SendOne(Destination& d) {  // returns when it may be tried again, if nothing could leave
     Seconds wake = kNever;
-    if (now_ + kStopSpread * UsualLatency(d) >= stop_at_) return wake;  // the next process sends it
+    if (now_ + kStopSpread * Usual(d) >= stop_at_) return wake;  // the next process sends it
     std::vector<Endpoint*> ready;
     for (Endpoint* e : d.endpoints) {
       if (e->listing != Listing::kInService) continue;  // rule 3: on the news, at once
       WatchForStall(*e);
-      const Seconds wait = WaitFor(*e);
+      const Seconds wait = IsLeft(d, *e) ? s_.overload_for / 10 : WaitFor(*e);  // by then it is drawn anew
       if (wait > 0) {
         wake = std::min(wake, now_ + wait);
       } else if (e->circuit == Circuit::kOpen) {
@@ -498,9 +501,8 @@
 
   int EnoughToDoubt(const Endpoint& e) const {
     if (e.lane->last_served > now_ - s_.ramp_time) return kBadIfServed;
-    const double own = ColdSum(e, s_.cold_from) * s_.overload_for / s_.couriers;
-    const int more = std::max(e.lane->lenient ? 1 : 0, static_cast<int>(std::lround(own)));
-    return std::min(kBadIfServed, kBadToDoubt + more);
+    const double own = ColdSum(e, s_.cold_from) * s_.overload_for / parts_;
+    return std::min(kBadIfServed, kBadToDoubt + static_cast<int>(std::lround(own)));
   }
 
   static bool InDoubt(const Lane& lane) { return lane.cold && lane.ramp_from == kNever; }
@@ -516,18 +518,19 @@
   double ColdSum(const Endpoint& e, double share) const {
     double limit = e.lane->limit > 0 ? e.lane->limit : least_limit_[e.kind];
     if (limit == kNever) limit = 1 / s_.overload_for;
-    const double part = std::min(1.0, kInformedPart * s_.couriers / std::max(1.0, s_.couriers - 1.0));
+    const double part = std::min(1.0, kInformedPart * parts_ / std::max(1.0, parts_ - 1.0));
     const double budget = part * s_.overload_factor * share * limit * s_.overload_for;
-    const double chance = kChance / 2 * std::sqrt(1 - 1.0 / s_.couriers);
+    const double chance = kChance / 2 * std::sqrt(1 - 1 / parts_);
     const double root = std::sqrt(chance * chance + budget) - chance;
-    const double spaced = budget - kChance / 2 * std::sqrt(s_.couriers - 1.0);  // each one's calls are
+    const double spaced = budget - kChance / 2 * std::sqrt(parts_ - 1);  // each one's calls are
     return std::max(root * root, spaced) / ((1 + kTrialKept) * s_.overload_for);
   }
 
   // Of that at its coldest each courier tries an even part of this share, at a drawn moment that lapses.
-  double TrialPart() const { return (1 + 1.0 / s_.couriers) / 2; }
-  Seconds TrialGap(const Endpoint& e) const {  // silence alone, without a failure or refusal, binds nobody
-    const Seconds gap = s_.couriers / (TrialPart() * ColdSum(e, s_.cold_from));
+  double TrialPart() const { return (1 + 1 / parts_) / 2; }
+  Seconds TrialGap(const Endpoint& e) {  // silence alone, without a failure or refusal, binds nobody
+    const double tried_by = zones_[e.zone].scout ? std::min(kScouts, parts_) : parts_;
+    const Seconds gap = tried_by / (TrialPart() * ColdSum(e, s_.cold_from));
     return e.lane->bad > 0 ? gap : std::min(gap, s_.overload_for);
   }
 
@@ -535,8 +538,8 @@
   double WarmingRate(const Endpoint& e) const {
     const double warm = std::clamp((now_ - e.lane->ramp_from) / s_.ramp_time, 0.0, 1.0);
     const double share = s_.cold_from + (1 - s_.cold_from) * warm;
-    if (AllHear(*e.lane)) return kInformedPart * s_.overload_factor * share * e.lane->limit / s_.couriers;
-    const double even = ColdSum(e, share) / s_.couriers;
+    if (AllHear(*e.lane)) return kInformedPart * s_.overload_factor * share * e.lane->limit / parts_;
+    const double even = ColdSum(e, share) / parts_;
     return std::max(TrialPart() * even,
                     (ColdSum(e, 1) / ColdSum(e, s_.cold_from) - 1) / (TrialPart() * s_.ramp_time));
   }
@@ -556,7 +559,7 @@
   }
 
   Seconds PatienceWith(const Endpoint& e) const {
-    const Seconds usual = e.latency.mean > 0 ? e.latency.mean : UsualLatency(destinations_.at(e.destination));
+    const Seconds usual = e.latency.mean > 0 ? e.latency.mean : Usual(destinations_.at(e.destination));
     return usual > 0 ? kTimeoutSpread * usual : longest_aim_;
   }
 
@@ -575,7 +578,7 @@
   std::optional<BucketKey> BestBucket(const Destination& d, const std::vector<Endpoint*>& ready, bool trial) {
     std::optional<BucketKey> best;
     std::tuple<bool, double, Seconds> best_rank;
-    const Seconds latency = UsualLatency(d);
+    const Seconds latency = Usual(d);
     for (const auto& [key, line] : d.waiting) {
       const int zone = std::get<2>(key);
       const auto inside = [zone](const Endpoint* e) { return zone < 0 || e->zone == zone; };
@@ -620,7 +623,7 @@
     while (Count(sent) < bundle) {
       const auto key = BestBucket(d, {&first}, trial && !first.never_ran);
       if (!key) break;
-      sent.push_back(&messages_.at(BestOf(*key, d.waiting.at(*key), UsualLatency(d)).second));
+      sent.push_back(&messages_.at(BestOf(*key, d.waiting.at(*key), Usual(d)).second));
       LeaveWaiting(*sent.back());
       if (sent.back()->attempts.empty()) ++d.first_sends;
     }
@@ -720,7 +723,7 @@
     if (last == Outcome::kFull || last == Outcome::kTimeout || last == Outcome::kNotSent ||
         last == Outcome::kCancelled)
       return Enqueue(m);
-    const Seconds usual = UsualLatency(destinations_[m.destination]);
+    const Seconds usual = Usual(destinations_[m.destination]);
     const Seconds backoff = std::max(s_.tick, usual * std::exp2(std::min(Count(m.attempts), 5) - 3));
     m.where = Message::Where::kDelayed;
     m.not_before = now_ + backoff * Jitter();
@@ -779,17 +782,15 @@
   }
 
   void CountBad(Lane& lane, Seconds sent) {
-    if (sent >= lane.bad_at && ++lane.bad == kBadToDoubt)  // those out together are one piece of evidence
-      lane.lenient = random_.Unit() < kLenient;
+    if (sent >= lane.bad_at) ++lane.bad;  // those out together are one piece of evidence
     lane.bad_at = now_;
   }
 
   void Refused(Endpoint& e, Seconds wait, Seconds sent) {
     Lane& lane = *e.lane;
     CountBad(lane, sent);
-    // Danger: all whom a lane refused come back at the end of the same wait; what one courier sends says
-    // nothing of the others. Backoff with jitter doubles with each refusal in a row, told waits or not.
-    const Seconds first = std::max(std::min(kMostBackoff, kRefusalBackoff * s_.couriers) * s_.overload_for,
+    // Danger: all whom a lane refused come back as the same wait ends: backoff with jitter doubles each time.
+    const Seconds first = std::max(std::min(kMostBackoff, kRefusalBackoff * parts_) * s_.overload_for,
                                    lane.limit > 0 ? 0.5 / lane.limit : 0);
     const Seconds backoff = std::min(s_.ramp_time, first * std::exp2(lane.refusals++));
     lane.pause_until = std::max(lane.pause_until, std::max(now_, lane.held_until) + backoff * Jitter());
@@ -811,8 +812,7 @@
   // Cut off from one another, though, each would tell all: it keeps to its part of one a span and endpoint.
   void TellOthers(const Endpoint& e, LaneNote::Kind kind) {
     notes_.Fill(now_, Count(endpoints_) / (s_.couriers * kPaceDepth * s_.overload_for), 2);
-    if (!s_.may_tell_peers || s_.couriers <= 1 || notes_.tokens < 1) return;
-    notes_.tokens -= 1;
+    if (!s_.may_tell_peers || s_.couriers <= 1 || !notes_.Take()) return;
     actions_->push_back(TellPeers{{}, WriteLaneNote({kind, e.destination, IsApart(e) ? e.tag : 0})});
   }
 
@@ -834,8 +834,7 @@
     CountBad(*e.lane, sent);
     e.unmet = e.latest_good = false;
     e.never_ran = never_ran;
-    // Danger: each of hundreds of couriers would find out by failed calls at each endpoint, until its return.
-    // Where nothing was served of late one failure opens; a served trial ends a false alarm.
+    // Danger: hundreds find out by failed calls. Where nothing was served of late one opens; a trial closes.
     const Seconds of_late = now_ - 2 * s_.overload_for;
     if (++e.failures < kFailuresToOpen && e.circuit == Circuit::kClosed && e.last_served > of_late) return;
     Open(e, true);
@@ -891,6 +890,7 @@
 
   void ProbeIfDue(Endpoint& e, Seconds& wake) {  // a trial that costs no message, where calls are lost
     if (!s_.may_probe || e.probing || e.never_ran || e.listing != Listing::kInService) return;
+    if (IsLeft(destinations_[e.destination], e)) return;
     const Seconds wait = WaitFor(e);
     if (wait > 0) return void(wake = std::min(wake, now_ + wait));
     e.probing = true;
@@ -1049,6 +1049,8 @@
   TokenBucket notes_{2, 0};  // that may be told now
   Latency all_latency_;
   Seconds longest_aim_ = 0;
+  double parts_ = std::max(1, s_.couriers);  // that limits are shared by, as far as is known
+  std::map<int, ZoneShare> zones_;
   int held_ = 0;
   Seconds ask_backoff_ = 0, ask_at_ = kNever, armed_ = -kNever, stop_at_ = kNever;
   std::uint64_t last_call_ = 0, wake_label_ = 0;
--- /dev/null
+++ b/src/zones/agreement.cpp
@@ -0,0 +1,86 @@
+#include "zones/agreement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace opalroute::zones {
+
+namespace {
+
+int BitsOf(std::uint32_t bits) { return __builtin_popcount(bits); }
+
+}  // namespace
+
+void Agreement::Add(Seconds seen, tier::Peer from, std::uint64_t life, std::uint64_t number,
+                    const Report& report) {
+  if (report.size() != static_cast<std::size_t>(zones_)) return;
+  Kept& kept = reports_[from];
+  if (std::tie(life, number) <= std::tie(kept.life, kept.number)) return;
+  kept = {seen, life, number, report};
+}
+
+// Danger: the number of one that is forgotten is forgotten too: a replay would count. Notes are checked
+// before.
+void Agreement::Forget(Seconds now) {
+  for (auto it = reports_.begin(); it != reports_.end();)
+    it = it->second.seen < now - 4 * ZoneReport::kLongestReported ? reports_.erase(it) : std::next(it);
+}
+
+View Agreement::Of(Seconds now, int zone) const { return Of(now, zone, rules_.fresh); }
+
+View Agreement::Of(Seconds now, int zone, Seconds fresh) const {
+  View view;
+  std::uint32_t bad = 0, good = 0, served = 0, seen = 0;
+  int by_wrong[6] = {};
+  for (const auto& [peer, kept] : reports_) {
+    const ZoneReport& r = kept.report[static_cast<std::size_t>(zone)];
+    const Seconds older = now - kept.seen;
+    if (older < ZoneReport::kLongestReported) seen |= r.seen;
+    if (r.good_age + older < rules_.fresh) served |= r.good;
+    if (r.Accuses(rules_.bad_for, older)) {
+      ++view.accusers;
+      view.words += BitsOf(r.bad);
+      ++by_wrong[static_cast<int>(r.wrong)];
+      bad |= r.bad;
+    } else if (r.Vouches(fresh, older)) {
+      ++view.vouchers;
+      good |= r.good;
+    }
+  }
+  view.wrong = static_cast<Wrong>(std::max_element(std::begin(by_wrong), std::end(by_wrong)) - by_wrong);
+  // Danger: where calls fail by chance, or are turned away above a limit, whoever accuses has been served
+  // too. A partner that anybody was served by a moment ago is not out.
+  good |= served;
+  view.good_partners = BitsOf(good);
+  view.bad_partners = BitsOf(bad & ~good);
+  view.partners = BitsOf(seen | bad | good);
+  return view;
+}
+
+int Agreement::QuorumOf(double parts) const {
+  if (parts < 2) return 1;
+  return std::min(1 + static_cast<int>(std::ceil(rules_.quorum * parts)), rules_.most_quorum);
+}
+
+bool Agreement::Failing(Seconds now, int zone, double parts, Seconds control_since) const {
+  const View v = Of(now, zone);
+  if (v.accusers < QuorumOf(parts) || v.vouchers > rules_.against * v.accusers) return false;
+  if (v.bad_partners < rules_.least_partners || v.words < rules_.least_words) return false;
+  if (v.bad_partners < rules_.partners * v.partners) return false;
+  if (v.wrong == Wrong::kSlow) return false;  // it serves; told, not left
+  for (int other = 0; other < zones_; ++other) {
+    if (other == zone) continue;
+    const View control = Of(now, other, std::min(rules_.control_for, now - control_since));
+    if (control.vouchers >= rules_.well * control.accusers && control.vouchers >= rules_.control * v.accusers)
+      return true;
+  }
+  return false;  // all at once: that is no zone's trouble
+}
+
+bool Agreement::Contradicted(Seconds now, int zone) const {
+  const View v = Of(now, zone);
+  return v.vouchers > 0 && v.vouchers > rules_.against * v.accusers;
+}
+
+}  // namespace opalroute::zones
--- /dev/null
+++ b/src/zones/codec.cpp
@@ -0,0 +1,88 @@
+#include "zones/codec.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace opalroute::zones {
+
+namespace {
+
+using tier::PutNumber;
+using tier::TakeNumber;
+
+constexpr std::uint64_t kMostZones = 64;
+constexpr double kTenths = 10;
+constexpr std::uint64_t kMostAge = 1'000'000;  // tenths
+constexpr int kMostRelapses = 31;
+
+void PutAge(std::string& bytes, Seconds age, Seconds most) {
+  // Rounded down, so that nothing seems older than it is, however often it is passed on.
+  PutNumber(bytes, static_cast<std::uint64_t>(std::clamp(age, 0.0, most) * kTenths));
+}
+void PutBits(std::string& bytes, std::uint32_t bits) {
+  for (int i = 0; i < 4; ++i) bytes += static_cast<char>(bits >> (8 * i));
+}
+std::uint32_t TakeBits(std::string_view& bytes) {
+  std::uint32_t bits = 0;
+  for (std::size_t i = 0; i < 4; ++i)
+    bits |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+  bytes.remove_prefix(4);
+  return bits;
+}
+
+}  // namespace
+
+std::string WriteSaid(const Said& said) {
+  std::string bytes;
+  PutNumber(bytes, said.stages.size());
+  for (const Stage& s : said.stages) {
+    PutNumber(bytes, s.round);
+    PutNumber(bytes, static_cast<std::uint64_t>(s.step) |
+                         static_cast<std::uint64_t>(std::min(s.relapses, kMostRelapses)) << 2);
+    PutAge(bytes, s.since, kMostAge / kTenths);
+  }
+  PutNumber(bytes, said.report ? 1 : 0);
+  if (!said.report) return bytes;
+  for (const ZoneReport& r : *said.report) {
+    PutBits(bytes, r.good);
+    PutBits(bytes, r.bad);
+    PutBits(bytes, r.seen);
+    PutAge(bytes, r.good_age, ZoneReport::kLongestReported);
+    PutAge(bytes, r.bad_age, ZoneReport::kLongestReported);
+    PutNumber(bytes, static_cast<std::uint64_t>(r.wrong));
+  }
+  return bytes;
+}
+
+std::optional<Said> ReadSaid(std::string_view bytes) {
+  Said said;
+  const auto zones = TakeNumber(bytes);
+  if (!zones || *zones > kMostZones) return std::nullopt;
+  for (std::uint64_t i = 0; i < *zones; ++i) {
+    const auto round = TakeNumber(bytes), step = TakeNumber(bytes), age = TakeNumber(bytes);
+    if (!round || !step || !age || *age > kMostAge || *step >> 2 > kMostRelapses) return std::nullopt;
+    said.stages.push_back({*round, static_cast<Step>(*step & 3), static_cast<int>(*step >> 2),
+                           static_cast<double>(*age) / kTenths});
+  }
+  const auto has = TakeNumber(bytes);
+  if (!has || *has > 1) return std::nullopt;
+  if (*has == 0) return bytes.empty() ? std::optional(said) : std::nullopt;
+  said.report.emplace();
+  for (std::uint64_t i = 0; i < *zones; ++i) {
+    if (bytes.size() < 12) return std::nullopt;
+    ZoneReport r;
+    r.good = TakeBits(bytes);
+    r.bad = TakeBits(bytes);
+    r.seen = TakeBits(bytes);
+    const auto good = TakeNumber(bytes), bad = TakeNumber(bytes), wrong = TakeNumber(bytes);
+    const auto most = static_cast<std::uint64_t>(ZoneReport::kLongestReported * kTenths);
+    if (!good || !bad || !wrong || *good > most || *bad > most || *wrong > 5) return std::nullopt;
+    r.good_age = static_cast<double>(*good) / kTenths;
+    r.bad_age = static_cast<double>(*bad) / kTenths;
+    r.wrong = static_cast<Wrong>(*wrong);
+    said.report->push_back(r);
+  }
+  return bytes.empty() ? std::optional(said) : std::nullopt;
+}
+
+}  // namespace opalroute::zones
--- /dev/null
+++ b/src/zones/member.cpp
@@ -0,0 +1,221 @@
+#include "zones/member.h"
+
+#include <algorithm>
+
+namespace opalroute::zones {
+
+namespace {
+
+constexpr Seconds kControlBefore = 0.3;  // a call that takes this long is served within the stage of leaving
+
+}  // namespace
+
+Member::Member(const MemberRules& rules, std::uint64_t life, std::uint64_t seed, Seconds now,
+               const std::vector<Stage>& kept)
+    : rules_(rules),
+      life_(life),
+      started_(now),
+      random_(seed),
+      tier_(rules.tier, life, seed, now),
+      evidence_(rules.evidence, rules.zones),
+      agreement_(rules.agreement, rules.zones),
+      stages_(rules.stages, rules.zones, rules.tier.own),
+      zones_(static_cast<std::size_t>(rules.zones)),
+      bucket_{2, now},
+      parts_told_(rules.tier.size) {
+  if (kept.size() != zones_.size()) return;
+  // With no word yet the careful stage: what was being left is out, and a return begins anew.
+  for (int zone = 0; zone < rules.zones; ++zone) {
+    Stage stage = kept[static_cast<std::size_t>(zone)];
+    if (stage.step == Step::kLeaving) stage.step = Step::kOut;
+    stage.since = now;
+    stages_.Hear(now, zone, stage);
+  }
+}
+
+// ---- in ---------------------------------------------------------------------------------------------------
+
+bool Member::Take(Seconds now, tier::Peer from, std::string_view bytes, Do& out) {
+  const auto note = tier::ReadNote(bytes);
+  if (!note) return false;
+  std::vector<tier::Tier::Out> answers;
+  if (!tier_.Take(now, from, *note, answers)) return true;
+  Write(now, answers, out);
+  const auto said = ReadSaid(note->zones);
+  if (!rules_.leave || !said || static_cast<int>(said->stages.size()) != rules_.zones) return true;
+  if (said->report) agreement_.Add(now, from, note->life, note->number, *said->report);
+  Hear(now, *said, out);
+  return true;
+}
+
+void Member::Hear(Seconds now, const Said& said, Do& out) {
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    const Stage before = stages_.Of(zone);
+    Stage heard = said.stages[static_cast<std::size_t>(zone)];
+    heard.since = now - heard.since;
+    if (stages_.Hear(now, zone, heard))
+      out.changes.push_back({zone, before, stages_.Of(zone), agreement_.Of(now, zone), true});
+  }
+  TellModule(now, out);
+}
+
+// ---- out --------------------------------------------------------------------------------------------------
+
+Report Member::OwnReport(Seconds now) const {
+  Report report;
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    const Sight sight = evidence_.Of(now, zone);
+    ZoneReport r;
+    r.good = sight.good;
+    r.bad = sight.bad;
+    r.seen = sight.seen;
+    r.good_age = std::min(ZoneReport::kLongestReported, now - sight.good_at);
+    r.bad_age = std::min(ZoneReport::kLongestReported, now - sight.bad_at);
+    r.wrong = sight.wrong;
+    report.push_back(r);
+  }
+  return report;
+}
+
+Said Member::Say(Seconds now, bool report) const {
+  Said said{Keep(now), std::nullopt};
+  if (report) said.report = OwnReport(now);
+  return said;
+}
+
+std::vector<Stage> Member::Keep(Seconds now) const {
+  std::vector<Stage> stages;
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    stages.push_back(stages_.Of(zone));
+    stages.back().since = now - stages.back().since;
+  }
+  return stages;
+}
+
+void Member::Write(Seconds now, std::vector<tier::Tier::Out>& notes, Do& out) {
+  if (notes.empty()) return;
+  const std::string zones = rules_.leave ? WriteSaid(Say(now, !IsQuiet(now))) : std::string();
+  for (tier::Tier::Out& o : notes) {
+    o.note.zones = zones;
+    out.notes.emplace_back(o.to, WriteNote(o.note, rules_.tier.note_bytes));
+  }
+}
+
+void Member::Leave(Do& out) {
+  std::vector<tier::Tier::Out> notes;
+  tier_.Leave(notes);
+  for (const tier::Tier::Out& o : notes)
+    out.notes.emplace_back(o.to, WriteNote(o.note, rules_.tier.note_bytes));
+}
+
+// Nobody has a trouble to tell of, so what is well need not be told either.
+bool Member::IsQuiet(Seconds now) const {
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    if (stages_.Of(zone).step != Step::kIn || zones_[static_cast<std::size_t>(zone)].is_accused) return false;
+    const Sight sight = evidence_.Of(now, zone);
+    if (sight.bad != 0) return false;
+  }
+  return true;
+}
+
+bool Member::HasNews(Seconds now, int zone) const {
+  const Zone& z = zones_[static_cast<std::size_t>(zone)];
+  const Sight sight = evidence_.Of(now, zone);
+  const bool accuses = sight.bad != 0 && sight.bad_at >= sight.good_at;
+  if (accuses) return sight.bad_at > z.reported && stages_.Of(zone).step != Step::kOut;
+  return z.is_accused && sight.good != 0 && sight.good_at > std::max(z.accused, z.reported);
+}
+
+// Others have told as much as the verdict needs, of every zone that this relay has news of.
+bool Member::SaidEnough(Seconds now) const {
+  const int quorum = agreement_.QuorumOf(rules_.tier.size);
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    if (!HasNews(now, zone)) continue;
+    const View view = agreement_.Of(now, zone);
+    const Sight sight = evidence_.Of(now, zone);
+    const bool accuses = sight.bad != 0 && sight.bad_at >= sight.good_at;
+    if (accuses ? view.accusers < 3 * quorum : view.vouchers <= rules_.agreement.against * 2 * view.accusers)
+      return false;
+  }
+  return true;
+}
+
+void Member::ReportIfDue(Seconds now, Do& out) {
+  if (report_at_ == kNever) {
+    bool news = false;
+    for (int zone = 0; zone < rules_.zones; ++zone) news = news || HasNews(now, zone);
+    if (!news) return;
+    report_at_ = now + rules_.heed * random_.Unit();
+  }
+  if (now < report_at_) return;
+  // A relay alone has an even part of all reports, and no less than one in some seconds.
+  const double rate = std::clamp(rules_.reports_a_second / rules_.tier.size, 0.2, 4.0);
+  bucket_.Fill(now, rate, 2);
+  if (bucket_.tokens < 1) return;
+  report_at_ = kNever;
+  if (SaidEnough(now)) return;
+  bucket_.tokens -= 1;
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    const Sight sight = evidence_.Of(now, zone);
+    zones_[static_cast<std::size_t>(zone)].reported = std::max(sight.good_at, sight.bad_at);
+  }
+  std::vector<tier::Tier::Out> notes(1);
+  notes[0].to = kAll;
+  notes[0].note = tier_.Blank(tier::NoteKind::kTold);
+  Write(now, notes, out);
+}
+
+void Member::Tick(Seconds now, Do& out) {
+  std::vector<tier::Tier::Out> notes;
+  tier_.Tick(now, notes);
+  Write(now, notes, out);
+  if (rules_.leave) {
+    evidence_.Tick(now);
+    agreement_.Forget(now);
+    agreement_.Add(now, rules_.tier.own, life_, ++own_reports_, OwnReport(now));
+    const double parts = tier_.Settled(now) ? tier_.Parts(now) : rules_.tier.size;
+    std::vector<tier::Peer> live;
+    for (int zone = 0; zone < rules_.zones; ++zone) {
+      Zone& z = zones_[static_cast<std::size_t>(zone)];
+      const Stage before = stages_.Of(zone);
+      const View view = agreement_.Of(now, zone);
+      const bool accused = view.accusers > 0 || before.step == Step::kLeaving;
+      if (accused && !z.is_accused) z.accused = now;
+      z.is_accused = accused;
+      if (before.step == Step::kOut && live.empty()) live = tier_.Live(now);
+      // Danger: where all zones fail at once the first to be accused has the others' past to stand against.
+      const Seconds control_since = before.step == Step::kLeaving ? before.since - kControlBefore : -1e9;
+      const Stages::Facts facts{agreement_.Failing(now, zone, parts, control_since),
+                                agreement_.Contradicted(now, zone), evidence_.Of(now, zone), live};
+      if (stages_.Tick(now, zone, facts)) {
+        out.changes.push_back({zone, before, stages_.Of(zone), view, false});
+        report_at_ = std::min(report_at_, now);  // whoever has not agreed by itself hears it
+      }
+    }
+    ReportIfDue(now, out);
+  }
+  TellModule(now, out);
+}
+
+void Member::TellModule(Seconds now, Do& out) {
+  const double parts = rules_.shares ? tier_.Parts(now) : rules_.tier.size;
+  const bool grows = parts < parts_told_;
+  if (parts > parts_told_ || (grows && now - parts_told_at_ >= rules_.grow_every)) {
+    out.events.emplace_back(TierSize{parts});
+    parts_told_ = parts;
+    parts_told_at_ = now;
+  }
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    Zone& z = zones_[static_cast<std::size_t>(zone)];
+    const Order order = stages_.OrderFor(now, zone);
+    if (order == z.told) continue;
+    z.told = order;
+    out.events.emplace_back(ZoneShare{zone, order.share, order.scout});
+  }
+}
+
+bool Member::Joined(Seconds now) const {
+  return rules_.tier.size < 2 || tier_.Answered() || now - started_ >= rules_.join_time;
+}
+
+}  // namespace opalroute::zones
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -19,6 +19,7 @@
 #include "lab/sockets/play.h"
 #include "lab/sockets/process.h"
 #include "net/address.h"
+#include "net/http.h"
 #include "program.h"
 
 namespace opalroute::lab {
@@ -217,10 +218,25 @@
   const int first = raw::Connect(*net::ParseAddress(address));
   const int second = raw::Connect(*net::ParseAddress(address));
   CHECK(s.Until([&] { return s.endpoints.connections() == 2; }));
-  CHECK(s.Until([&] { return !SomebodyListens(address); }));
+  // The first request on a further connection is turned away, and the connection ends (protocol, '503').
+  const auto answer_to = [&](int fd) {
+    const std::string request = net::WriteRequest("GET", "/health/live", {{"Host", "lab"}}, "");
+    CHECK(send(fd, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+    std::string answer(4096, '\0');
+    ssize_t size = -1;
+    CHECK(s.Until(
+        [&] { return size > 0 || (size = recv(fd, answer.data(), answer.size(), MSG_DONTWAIT)) > 0; }));
+    return answer.substr(0, static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+  };
+  const int third = raw::Connect(*net::ParseAddress(address));
+  const std::string turned_away = answer_to(third);
+  CHECK(turned_away.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK(turned_away.find("Connection: close") != std::string::npos);
   close(first);
-  CHECK(s.Until([&] { return SomebodyListens(address); }));
-  close(second);
+  CHECK(s.Until([&] { return s.endpoints.connections() == 1; }));
+  const int fourth = raw::Connect(*net::ParseAddress(address));
+  CHECK(answer_to(fourth).rfind("HTTP/1.1 200", 0) == 0);
+  for (const int fd : {second, third, fourth}) close(fd);
 }
 
 TEST_CASE("lab: a machine that has vanished leaves a new connection without any answer") {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -323,6 +323,19 @@
       a.Only(BreachKind::kPushedOver, knew ? 1 : 0);
     }
   }
+  SUBCASE("relays that take the parts of others who run still") {
+    for (const double parts : {4.0, 3.0, 2.0}) {
+      Audit a;
+      a.auditor->Tier(4);
+      for (int relay = 0; relay < 3; ++relay) a.auditor->ToldParts(1, relay, 3);
+      a.auditor->ToldParts(2, 3, parts);
+      a.Only(BreachKind::kOverParts, parts < 4 ? 1 : 0);
+      if (parts > 3) continue;
+      a.auditor->LostParts(3, 0);
+      a.auditor->ToldParts(3, 3, parts);
+      a.Only(BreachKind::kOverParts, 1);
+    }
+  }
 }
 
 TEST_CASE("lab: the auditor catches what goes out of turn, or while its key rests") {
@@ -441,5 +454,94 @@
   CHECK(!Bootstrap(same).differs());
 }
 
+// ---- links, tier and zones -------------------------------------------------------------------------------
+
+TEST_CASE("lab: links lose, double and cut as they are told, one way, by group and in flaps") {
+  LinkPlan plan;
+  plan.loss = 0.3;
+  plan.duplicate = 0.2;
+  Cut cut;
+  cut.first = 2;
+  cut.last = 3;
+  cut.way = Cut::Way::kOut;
+  cut.from = 10;
+  cut.lasts = 6;
+  cut.on = 1;
+  cut.off = 2;
+  plan.cuts.push_back(cut);
+  cut.what = Cut::What::kEndpoints;
+  cut.zone = 1;
+  cut.on = 0;
+  plan.cuts.push_back(cut);
+  Links links(plan, 1);
+  std::size_t arrived = 0;
+  for (int i = 0; i < 10000; ++i) arrived += links.Arrivals(5, 0, 1).size();
+  CHECK(arrived > 8000);
+  CHECK(arrived < 8800);
+  for (const double at : {9.9, 10.0, 10.9, 11.5, 13.5, 16.0}) {
+    const bool holds = at == 10.0 || at == 10.9 || at == 13.5;
+    CHECK(links.PeersCut(at, 2, 0) == holds);
+    CHECK(!links.PeersCut(at, 0, 2));  // one way
+    CHECK(!links.PeersCut(at, 2, 3));  // within the group
+    CHECK(links.EndpointsCut(at, 3, 1) == (at >= 10 && at < 16));
+    CHECK(!links.EndpointsCut(at, 3, 0));
+    CHECK(!links.EndpointsCut(at, 1, 1));
+  }
+}
+
+TEST_CASE("lab: endpoints under one limit go out alone with their zone") {
+  const World world(
+      ReadScenario(
+          {{"zones", 3},
+           {"partners", {{"count", 30}, {"endpoints", {3, 4}}, {"apart", 0}}},
+           {"troubles", {{{"kind", "shut"}, {"share", 1}, {"zone", 1}, {"from_s", 5}, {"lasts_s", 5}}}}}),
+      1);
+  World& w = const_cast<World&>(world);
+  int out = 0;
+  for (EndpointId id = 1; id <= world.endpoint_count(); ++id) {
+    const PartnerEndpoint& e = world.endpoint(id);
+    CHECK(w.lane(e.machine).OutAt(6) == (e.zone == 1));
+    CHECK(!w.lane(e.lane).OutAt(6));
+    CHECK(w.lane(e.machine).ColdAt(11) == (e.zone == 1));
+    out += e.zone == 1;
+  }
+  CHECK(out > 10);
+}
+
+// Thirty modules, each with few calls: together they leave what each alone finds out again and again.
+TEST_CASE("lab: thirty relays leave a failing zone together, and return without felling anything") {
+  nlohmann::json file = {
+      {"relays", 30},
+      {"lasts_s", 32},
+      {"zones", 3},
+      {"notes", true},
+      {"links", {{"loss", 0.2}}},
+      {"load", {{"rate", 150}}},
+      {"partners", {{"count", 12}, {"endpoints", {3, 4}}, {"apart", 1}, {"connections", {6, 10}}}},
+      {"settings", {{"ramp_s", 5}}},
+      {"troubles", {{{"kind", "refuse"}, {"share", 1}, {"zone", 1}, {"from_s", 8}, {"lasts_s", 8}}}}};
+  const auto into = [](const RunResult& r, std::size_t from, std::size_t to) {
+    long calls = 0;
+    for (std::size_t second = from; second < to; ++second)
+      if (r.seconds[second].zone_calls.size() > 1) calls += r.seconds[second].zone_calls[1];
+    return calls;
+  };
+  const RunResult alone = Simulation(ReadScenario(file), 3).Run();
+  file["tier"] = file["leave"] = true;
+  const RunResult together = Simulation(ReadScenario(file), 3).Run();
+  CHECK(together.breaches.empty());
+  CHECK(together.collapses == 0);
+  CHECK(into(alone, 11, 16) > 4 * into(together, 11, 16));
+  CHECK(into(together, 26, 30) > 60);
+  int out = 0, in = 0;
+  for (const StageChange& c : together.stage_changes) {
+    out += c.zone == 1 && c.step == "out" && c.at < 10.5;
+    in += c.zone == 1 && c.step == "in" && c.at > 16;
+    CHECK(c.zone == 1);
+  }
+  CHECK(out >= 29);
+  CHECK(in >= 30);
+}
+
 }  // namespace
 }  // namespace opalroute::lab
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -720,5 +720,106 @@
   EXPECT_TRUE(belief().back);  // a slow start
 }
 
+// ---- the tier and its zones --------------------------------------------------------------------
+
+// What is shared by three is shared by one once the others have gone: the even part, and with it the pace
+// that is regained after a refusal, grows.
+TEST_F(RulesTest, PartsOfLimitsFollowTheTiersSize) {
+  std::vector<std::size_t> sent;
+  for (const double parts : {3.0, 1.0}) {
+    Settings s = TestSettings();
+    s.couriers = 3;
+    s.rating = RatingMeaning::kExact;
+    s.slots = 100;
+    Start(s);
+    List({Entry(1, 1, 0, 0, Listing::kInService, 6)});
+    Play(TierSize{parts});
+    MessageId id = 1;
+    for (; id <= 100; ++id) Take(id, kSafeClass);
+    EndTurn();
+    Tell(All<Send>().front().message, 0, 1, Outcome::kFull);
+    const Seconds until = now_ + 8;
+    RunTo(until);
+    sent.push_back(All<Send>().size());
+  }
+  EXPECT_GT(sent[1], sent[0] * 3 / 2);
+}
+
+TEST_F(RulesTest, AZoneThatAllHaveLeftGetsNoCallWhereThereIsAnother) {
+  List({Entry(1, 1, 0, 1), Entry(2, 1, 1, 1), Entry(3, 2, 1, 1)});
+  Play(ZoneShare{1, 0, false});
+  ServeSafely(1, 40);
+  for (const Send& send : All<Send>()) EXPECT_EQ(send.endpoint, 1U);
+  // Never the last zone of a destination, and not while the other one does not serve either.
+  Take(50, kUnsafeClass, 2);
+  EndTurn();
+  ASSERT_EQ(SendsOf(50).size(), 1U);
+  EXPECT_EQ(SendsOf(50)[0].endpoint, 3U);
+  for (MessageId id = 60; id < 63; ++id) {
+    Take(id, kUnsafeClass);
+    EndTurn();
+    if (SendsOf(id).empty() || SendsOf(id)[0].endpoint != 1) break;
+    now_ += 0.1;
+    Tell(id, 0, 1, Outcome::kConnectFailed);
+    RunTo(now_ + 0.5);
+  }
+  Take(70, kUnsafeClass);
+  RunTo(now_ + 1);
+  ASSERT_FALSE(SendsOf(70).empty());
+  EXPECT_EQ(SendsOf(70)[0].endpoint, 2U);
+}
+
+TEST_F(RulesTest, AShareOfAZonesCallsIsDrawn) {
+  List({Entry(1, 1, 0), Entry(2, 1, 1)});
+  Play(ZoneShare{1, 0.25, false});
+  ServeSafely(1, 400);
+  int there = 0;
+  for (const Send& send : All<Send>()) there += send.endpoint == 2;
+  EXPECT_GT(there, 20);  // one in eight: half of a quarter
+  EXPECT_LT(there, 90);
+}
+
+TEST_F(RulesTest, AScoutTriesALeftZoneNowAndThenAndNoOtherDoes) {
+  for (const bool scout : {false, true}) {
+    Settings s = TestSettings();
+    s.couriers = 30;
+    s.may_copy = false;
+    Start(s);
+    List({Entry(1, 1, 0, 1, Listing::kInService, 100), Entry(2, 1, 1, 1, Listing::kInService, 100)});
+    Play(ZoneShare{1, 0, scout});
+    MessageId id = 1;
+    for (const Seconds end = now_ + 20; now_ < end;) {
+      Take(id, kUnsafeClass);
+      RunTo(now_ + 0.1);
+      const auto sends = SendsOf(id);
+      if (!sends.empty())
+        Tell(id, 0, sends[0].endpoint, sends[0].endpoint == 2 ? Outcome::kConnectFailed : Outcome::kServed);
+      ++id;
+    }
+    int there = 0;
+    for (const Send& send : All<Send>()) there += send.endpoint == 2;
+    EXPECT_EQ(there > 0, scout);
+    EXPECT_LT(there, 40);
+  }
+}
+
+// All of them come back at one moment, to endpoints that nobody has called meanwhile.
+TEST_F(RulesTest, AZoneThatAllReturnToStartsSlowly) {
+  Settings s = TestSettings();
+  s.couriers = 10;
+  s.rating = RatingMeaning::kExact;
+  s.slots = 100;
+  s.may_copy = false;
+  Start(s);
+  List({Entry(1, 1, 1, 1, Listing::kInService, 20)});
+  Play(ZoneShare{1, 0, false});
+  Play(ZoneShare{1, 0.2, false});
+  for (MessageId id = 1; id <= 100; ++id) Take(id, kSafeClass);
+  RunTo(now_ + 3);
+  // Two thirds of twice a fifth of 20 a second for 3 s, a tenth of it: 1.6, and one that was saved.
+  EXPECT_LE(All<Send>().size(), 4U);
+  EXPECT_GE(All<Send>().size(), 1U);
+}
+
 }  // namespace
 }  // namespace opalroute
--- /dev/null
+++ b/tests/tier_test.cpp
@@ -0,0 +1,199 @@
+// Who is there: parts of limits under cuts, kills and freezes. Counts and order alone, on a fake clock.
+#include <doctest/doctest.h>
+
+#include "tier_stage.h"
+
+namespace opalroute {
+namespace {
+
+using tier::Life;
+
+zones::MemberRules RulesFor(int size) {
+  zones::MemberRules rules;
+  rules.tier.size = size;
+  rules.zones = 2;
+  rules.leave = false;
+  return rules;
+}
+
+TEST_CASE("tier: a note is read as it was written, cut anywhere it is refused") {
+  tier::Note note;
+  note.kind = tier::NoteKind::kAnswer;
+  note.life = 1'764'000'000'000'000;
+  note.number = 300;
+  note.echo = 77;
+  note.first = 5;
+  note.zones = "zones";
+  for (int i = 0; i < 200; ++i)
+    note.told.push_back({static_cast<tier::Told::Of>(i % 3), i % 3 == 0 ? 0 : 0.7 + i % 7});
+  const std::string bytes = WriteNote(note, 256);
+  CHECK(bytes.size() <= 256);
+  const auto read = tier::ReadNote(bytes);
+  REQUIRE(read);
+  CHECK(read->life == note.life);
+  CHECK(read->number == 300);
+  CHECK(read->echo == 77);
+  CHECK(read->first == 5);
+  CHECK(read->zones == "zones");
+  REQUIRE(read->told.size() == 200);
+  for (std::size_t i = 0; i < 200; ++i) {
+    CHECK(read->told[i].of == note.told[i].of);
+    CHECK(read->told[i].age >= note.told[i].age);  // never younger than it is
+    CHECK(read->told[i].age <= note.told[i].age + 12.0 / 7);
+  }
+  for (std::size_t size = 0; size < bytes.size(); ++size) CHECK(!tier::ReadNote(bytes.substr(0, size)));
+  CHECK(!tier::ReadNote(bytes + "x"));
+  CHECK(!tier::ReadNote("Lr\x01"));
+  std::string newer = bytes;
+  newer[1] = 2;
+  CHECK(!tier::ReadNote(newer));  // of another version
+  CHECK(WriteNote(note, 60).size() <= 60);
+}
+
+TEST_CASE("tier: those whose machines refuse are gone within seconds, and their parts go to the rest") {
+  for (const int size : {3, 12, 60, 300}) {
+    CAPTURE(size);
+    TierStage s(RulesFor(size), {}, 1);
+    s.StartAll();
+    s.PlayTo(s.now + 2);
+    CHECK(s.Parts() == doctest::Approx(1));
+    const int left = std::max(2, size * 3 / 10);
+    for (int relay = left; relay < size; ++relay) s.Kill(relay);
+    s.PlayTo(s.now + 25);
+    CHECK(s[0].tier().LifeOf(s.now, size - 1) == Life::kGone);
+    CHECK(s.Parts() > 0.9);
+    CHECK(s.most_parts < 1 + 1e-9);
+    // They come back at once: what was theirs is let go before it is taken.
+    for (int relay = left; relay < size; ++relay) s.Start(relay);
+    s.PlayTo(s.now + 3);
+    CHECK(s.Parts() == doctest::Approx(1));
+    CHECK(s.most_parts < 1 + 1.0 / size + 1e-9);
+  }
+}
+
+TEST_CASE("tier: unheard is not dead, whoever is cut off and for however long") {
+  TierStage s(RulesFor(10), {}, 2);
+  s.StartAll();
+  s.PlayTo(s.now + 2);
+  s.cut = [](int from, int to) { return (from < 4) != (to < 4); };
+  s.PlayTo(s.now + 120);
+  for (int relay = 0; relay < 10; ++relay) CHECK(s[relay].tier().Parts(s.now) == 10);
+  CHECK(s[0].tier().LifeOf(s.now, 9) == Life::kUnheard);
+  CHECK(s[0].tier().Live(s.now).size() == 4);
+}
+
+TEST_CASE(
+    "tier: what was proved before a cut is let go in it, before one that is back behind it takes its part") {
+  TierStage s(RulesFor(10), {}, 3);
+  s.StartAll();
+  s.PlayTo(s.now + 2);
+  for (int relay = 5; relay < 10; ++relay) s.Kill(relay);
+  s.PlayTo(s.now + 20);
+  CHECK(s[0].tier().Parts(s.now) == 5);
+  s.cut = [](int from, int to) { return (from < 5) != (to < 5); };
+  for (int relay = 5; relay < 10; ++relay) s.Start(relay);
+  s.PlayTo(s.now + 1);
+  CHECK(s[0].tier().Parts(s.now) == 5);    // it can't know
+  CHECK(s[9].tier().Parts(s.now) == 100);  // so they hold back
+  s.PlayTo(s.now + 20);
+  CHECK(s[0].tier().Parts(s.now) == 10);
+  CHECK(s[9].tier().Parts(s.now) == 10);
+  CHECK(s.most_parts < 1.1 + 1e-9);
+}
+
+TEST_CASE("tier: a cut one way, a frozen relay, its own word of leaving") {
+  TierStage s(RulesFor(8), {}, 4);
+  s.StartAll();
+  s.PlayTo(s.now + 2);
+  s.cut = [](int from, int) { return from == 7; };  // it hears, and is not heard
+  s.PlayTo(s.now + 30);
+  CHECK(s[0].tier().Parts(s.now) == 8);
+  CHECK(s[7].tier().Parts(s.now) == 8);
+  s.cut = nullptr;
+  s.Freeze(3, s.now + 10);
+  s.PlayTo(s.now + 9);
+  CHECK(s[0].tier().Parts(s.now) == 8);  // silent is not gone
+  s.PlayTo(s.now + 5);
+  s.Leave(2);
+  s.PlayTo(s.now + 10);
+  CHECK(s[0].tier().LifeOf(s.now, 2) == Life::kGone);
+  CHECK(s.most_parts < 1 + 1e-9);
+}
+
+TEST_CASE("tier: a refusal of one that is heard proves nothing, and replays and strangers are passed over") {
+  tier::Rules rules;
+  rules.size = 4;
+  tier::Tier t(rules, 10, 1, 0);
+  std::vector<tier::Tier::Out> out;
+  for (double now = 0; now < 0.5; now += 0.05) t.Tick(now, out);
+  REQUIRE(!out.empty());
+  CHECK(!t.Take(0.5, 9, {tier::NoteKind::kTold, 1, 1, 0, 0, {}, {}}, out));
+  CHECK(!t.Take(0.5, 0, {tier::NoteKind::kTold, 1, 1, 0, 0, {}, {}}, out));  // its own number
+  CHECK(t.Take(0.5, 1, {tier::NoteKind::kTold, 5, 3, 0, 0, {}, {}}, out));
+  CHECK(!t.Take(0.5, 1, {tier::NoteKind::kTold, 5, 3, 0, 0, {}, {}}, out));
+  CHECK(!t.Take(0.5, 1, {tier::NoteKind::kTold, 4, 9, 0, 0, {}, {}}, out));
+  CHECK(t.Take(0.5, 1, {tier::NoteKind::kTold, 6, 1, 0, 0, {}, {}}, out));
+  CHECK(t.restarts() == 1);
+  CHECK(t.Take(0.5, 3, {tier::NoteKind::kTold, 6, 1, 0, 0, {}, {}}, out));
+  t.Refused(0.6, 3);  // by the path, it seems: it was heard a moment ago
+  CHECK(t.LifeOf(0.7, 3) != Life::kGone);
+  t.Refused(0.5, 7);  // nobody
+  CHECK(t.Parts(20) == 4);
+}
+
+// Kills, starts, freezes and cuts of every kind at once: never are more parts held than a whole and one.
+TEST_CASE("tier: parts stay under a whole and one over 1,000 scripts of cuts and kills") {
+  int grown = 0;
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    pcg32 draw(seed, 5);
+    const int size = 3 + static_cast<int>(draw(8));
+    lab::LinkPlan links;
+    links.loss = draw(3) == 0 ? 0.6 : draw(2) == 0 ? 0.2 : 0;
+    links.delay = {0, draw(4) == 0 ? 0.8 : 0.02};
+    links.duplicate = links.reorder = 0.1;
+    for (int i = 0; i < 3; ++i) {
+      lab::Cut cut;
+      cut.way = static_cast<lab::Cut::Way>(draw(3));
+      cut.first = static_cast<int>(draw(static_cast<std::uint32_t>(size)));
+      cut.last = std::min(size - 1, cut.first + static_cast<int>(draw(4)));
+      cut.from = 100 + draw(30);
+      cut.lasts = 2 + draw(20);
+      if (draw(3) == 0) cut.on = 0.5 + draw(3), cut.off = 0.5 + draw(3);
+      links.cuts.push_back(cut);
+    }
+    TierStage s(RulesFor(size), links, seed);
+    s.StartAll();
+    s.PlayTo(s.now + 40, [&] {
+      if (s.Below(20) != 0) return;
+      const int relay = s.Below(size);
+      if (!s.IsUp(relay)) return s.Start(relay);
+      const int what = s.Below(6);
+      if (what == 0) s.Freeze(relay, s.now + 1 + s.Below(10));
+      if (what == 1) s.Leave(relay);
+      if (what >= 2) s.Kill(relay, s.Below(2) == 0);
+    });
+    for (int relay = 0; relay < size; ++relay)
+      grown += s.IsUp(relay) && s[relay].tier().Settled(s.now) && s[relay].tier().Parts(s.now) < size;
+    REQUIRE_MESSAGE(s.most_parts < 1 + 1.0 / size + 1e-9, "seed ", seed, " holds ", s.most_parts);
+  }
+  CHECK(grown > 300);  // and it is not that none ever grows
+}
+
+TEST_CASE("tier: notes a second and bytes a note stay within what is stated, at 3, 30 and 300 relays") {
+  for (const int size : {3, 30, 300}) {
+    TierStage s(RulesFor(size), {}, 6);
+    s.StartAll();
+    s.PlayTo(s.now + 3);
+    const long notes = s.notes, bytes = s.bytes;
+    s.PlayTo(s.now + 10);
+    const double each = static_cast<double>(s.notes - notes) / 10 / size;
+    MESSAGE(size << " relays: " << each << " notes a second and relay, "
+                 << static_cast<double>(s.bytes - bytes) / static_cast<double>(s.notes - notes)
+                 << " bytes each, the longest " << s.longest);
+    CHECK(each < 4.5);
+    CHECK(s.longest <= 256);
+  }
+}
+
+}  // namespace
+}  // namespace opalroute
--- /dev/null
+++ b/tests/zones_test.cpp
@@ -0,0 +1,423 @@
+// Zones that are left and returned to by a whole tier, on a fake clock. What the relays' calls see is drawn
+// from a truth that each test states; verdicts are counts and order.
+#include <doctest/doctest.h>
+
+#include <numeric>
+#include <set>
+
+#include "tier_stage.h"
+
+namespace opalroute {
+namespace {
+
+using zones::Step;
+using zones::Wrong;
+
+constexpr int kZones = 3;
+constexpr int kPartners = 12;
+
+zones::MemberRules RulesFor(int size) {
+  zones::MemberRules rules;
+  rules.tier.size = size;
+  rules.zones = kZones;
+  rules.stages.ramp = 4;
+  return rules;
+}
+
+// What a call meets.
+struct Met {
+  Outcome outcome = Outcome::kServed;
+  Seconds takes = 0.2;  // kTimeout: it hangs, and is given up after this
+};
+
+// Each relay calls partners in all zones, as its shares allow.
+class Calls {
+ public:
+  using Truth = std::function<Met(int relay, int partner, int zone)>;
+  Calls(TierStage& stage, double rate, Truth truth) : s_(stage), rate_(rate), truth_(std::move(truth)) {}
+
+  void PlayTo(Seconds until) {
+    s_.PlayTo(until, [this] { Step(); });
+  }
+  std::map<int, long> into;  // calls by zone
+
+ private:
+  struct Out {
+    int relay, partner, zone;
+    zones::Member* member;
+    Met met;
+  };
+  static EndpointId EndpointOf(int partner, int zone) {
+    return static_cast<EndpointId>(partner * kZones + zone + 1);
+  }
+  void Step() {
+    while (!out_.empty() && out_.begin()->first <= s_.now) {
+      const Out o = out_.begin()->second;
+      out_.erase(out_.begin());
+      if (s_.IsAwake(o.relay) && &s_[o.relay] == o.member)
+        o.member->Ended(s_.now, o.zone, o.partner, EndpointOf(o.partner, o.zone), o.met.outcome, o.met.takes);
+    }
+    for (int relay = 0; relay < s_.size(); ++relay) {
+      if (!s_.IsAwake(relay)) continue;
+      for (double due = rate_ * zones::Member::kTick; lab::DrawUnit(s_.random()) < due; due -= 1) Call(relay);
+    }
+  }
+  void Call(int relay) {
+    const int partner = s_.Below(kPartners), zone = s_.Below(kZones);
+    const ZoneShare& share = s_.ShareOf(relay, zone);
+    if (lab::DrawUnit(s_.random()) >= (share.scout ? 0.2 : share.share))
+      return;  // scouts try it now and then
+    ++into[zone];
+    const Met met = truth_(relay, partner, zone);
+    s_[relay].Sent(s_.now, zone, partner, EndpointOf(partner, zone));
+    out_.emplace(s_.now + met.takes, Out{relay, partner, zone, &s_[relay], met});
+  }
+  TierStage& s_;
+  const double rate_;
+  const Truth truth_;
+  std::multimap<Seconds, Out> out_;
+};
+
+int CountIn(TierStage& s, int zone, Step step) {
+  int count = 0;
+  for (int relay = 0; relay < s.size(); ++relay)
+    count += s.IsUp(relay) && s[relay].StageOf(zone).step == step;
+  return count;
+}
+
+Met Bad(Outcome outcome) { return {outcome, outcome == Outcome::kTimeout ? 3 : 0.02}; }
+
+TEST_CASE("zones: a zone that fails in any way is left by all within seconds, and no other is") {
+  for (const Outcome how :
+       {Outcome::kConnectFailed, Outcome::kFull, Outcome::kReset, Outcome::kError, Outcome::kTimeout})
+    for (const int size : {3, 12, 60}) {
+      CAPTURE(size);
+      CAPTURE(static_cast<int>(how));
+      TierStage s(RulesFor(size), {}, 5);
+      const Seconds fails = 105, back = 115;
+      Calls calls(s, std::max(4.0, 60.0 / size), [&](int, int, int zone) {
+        return zone == 1 && s.now >= fails && s.now < back ? Bad(how) : Met{};
+      });
+      s.StartAll();
+      calls.PlayTo(fails);
+      CHECK(s.changes.empty());
+      calls.PlayTo(fails + (how == Outcome::kTimeout ? 2.6 : 2.2));
+      CHECK(CountIn(s, 1, Step::kOut) == size);
+      calls.into.clear();
+      calls.PlayTo(back);
+      CHECK(calls.into[1] * 10 <= (calls.into[0] + calls.into[2]) * 3);  // of a small tier all are scouts
+      if (size == 60) CHECK(calls.into[1] * 12 < calls.into[0]);
+      calls.PlayTo(back + 8);
+      CHECK(CountIn(s, 1, Step::kOut) == 0);
+      calls.PlayTo(back + 14);
+      CHECK(CountIn(s, 1, Step::kIn) == size);
+      for (const auto& change : s.changes) {
+        CHECK(change.zone == 1);
+        CHECK(change.now.round == 1);
+      }
+    }
+}
+
+TEST_CASE("zones: with 20% and 60% of the notes lost all leave, a little later") {
+  for (const double loss : {0.2, 0.6}) {
+    lab::LinkPlan links;
+    links.loss = loss;
+    links.duplicate = links.reorder = 0.1;
+    TierStage s(RulesFor(40), links, 6);
+    Calls calls(s, 4,
+                [&](int, int, int zone) { return zone == 0 && s.now >= 105 ? Bad(Outcome::kReset) : Met{}; });
+    s.StartAll();
+    calls.PlayTo(105);
+    calls.PlayTo(108);
+    CHECK(CountIn(s, 0, Step::kOut) == 40);
+  }
+}
+
+TEST_CASE("zones: the scouts are the same three to all, and others are drawn in the next round") {
+  TierStage s(RulesFor(30), {}, 7);
+  Calls calls(s, 4,
+              [&](int, int, int zone) { return zone == 2 && s.now >= 105 ? Bad(Outcome::kReset) : Met{}; });
+  s.StartAll();
+  calls.PlayTo(110);
+  std::set<int> scouts;
+  for (int relay = 0; relay < 30; ++relay)
+    if (s.ShareOf(relay, 2).scout) scouts.insert(relay);
+  CHECK(scouts.size() >= 3);
+  CHECK(scouts.size() <= 6);  // by what each has heard of others
+  std::vector<int> live(30);
+  std::iota(live.begin(), live.end(), 0);
+  const auto first = zones::ScoutsOf(live, 2, 1, 3);
+  CHECK(first != zones::ScoutsOf(live, 2, 2, 3));
+  CHECK(first != zones::ScoutsOf(live, 1, 1, 3));
+  for (const int scout : first) CHECK(scouts.count(scout) == 1);
+  // One that goes leaves the others in their places.
+  live.erase(std::find(live.begin(), live.end(), first[0]));
+  const auto without = zones::ScoutsOf(live, 2, 1, 3);
+  CHECK(without[0] == first[1]);
+  CHECK(without[1] == first[2]);
+}
+
+TEST_CASE("zones: back for 300 ms each 3 s is not back") {
+  TierStage s(RulesFor(12), {}, 8);
+  Calls calls(s, 8, [&](int, int, int zone) {
+    const bool flash = std::fmod(s.now - 105, 3) >= 2.7;
+    return zone == 1 && s.now >= 105 && !flash ? Bad(Outcome::kConnectFailed) : Met{Outcome::kServed, 0.05};
+  });
+  s.StartAll();
+  calls.PlayTo(108);
+  const std::size_t left = s.changes.size();
+  calls.PlayTo(150);
+  CHECK(s.changes.size() == left);
+  CHECK(CountIn(s, 1, Step::kOut) == 12);
+}
+
+TEST_CASE("zones: a relapse closes it anew, each time for longer up to a bound") {
+  TierStage s(RulesFor(12), {}, 9);
+  Calls calls(s, 8, [&](int, int, int zone) {
+    // Served for as long as scouts try it, failing under everybody.
+    const bool out = CountIn(s, 1, Step::kOut) > 6;
+    return zone == 1 && s.now >= 105 && (!out || s.now < 107) ? Bad(Outcome::kReset)
+                                                              : Met{Outcome::kServed, 0.05};
+  });
+  s.StartAll();
+  calls.PlayTo(200);
+  std::map<std::uint64_t, std::pair<Seconds, Seconds>> rounds;  // out since, returning since
+  for (const auto& change : s.changes) {
+    if (change.now.step == Step::kOut) rounds[change.now.round].first = change.now.since;
+    if (change.now.step == Step::kReturning) rounds[change.now.round].second = change.now.since;
+  }
+  REQUIRE(rounds.size() >= 4);
+  for (std::uint64_t round = 2; round + 1 <= rounds.rbegin()->first && rounds[round + 1].second > 0;
+       ++round) {
+    CAPTURE(round);
+    const double lasted = rounds[round].second - rounds[round].first;
+    CHECK(lasted >= std::min(16.0, std::exp2(static_cast<double>(round - 1))) - 0.5);
+    CHECK(lasted < 20);
+  }
+}
+
+TEST_CASE("zones: who starts, restarts or wakes in the middle learns the stage before its first send there") {
+  TierStage s(RulesFor(12), {}, 10);
+  Calls calls(s, 8,
+              [&](int, int, int zone) { return zone == 1 && s.now >= 105 ? Bad(Outcome::kReset) : Met{}; });
+  s.StartAll();
+  s.PlayTo(104);
+  s.Kill(11);
+  calls.PlayTo(106.9);
+  s.Freeze(5, 120);  // it holds what it held
+  s.Kill(3);         // with its folder
+  s.Kill(4, true);   // and without
+  calls.PlayTo(112);
+  for (const int relay : {3, 4, 11}) s.Start(relay);
+  CHECK(s[3].StageOf(1).step == Step::kOut);  // from the folder, before any word
+  CHECK(!s[4].Joined(s.now));
+  s.PlayTo(s.now + 0.15);
+  for (const int relay : {3, 4, 11}) {
+    CHECK(s[relay].Joined(s.now));
+    CHECK(s[relay].StageOf(1).step == Step::kOut);
+    CHECK(s.ShareOf(relay, 1).share == 0);
+  }
+  calls.PlayTo(125);
+  CHECK(CountIn(s, 1, Step::kOut) == 12);
+}
+
+TEST_CASE("zones: a verdict that a frozen relay wakes with counts for nothing") {
+  TierStage s(RulesFor(12), {}, 11);
+  Calls calls(s, 8, [&](int, int, int zone) {
+    return zone == 1 && s.now >= 105 && s.now < 108 ? Bad(Outcome::kReset) : Met{Outcome::kServed, 0.05};
+  });
+  s.StartAll();
+  calls.PlayTo(107);
+  CHECK(CountIn(s, 1, Step::kOut) == 12);
+  s.Freeze(2, 125);
+  calls.PlayTo(124);
+  CHECK(CountIn(s, 1, Step::kIn) == 11);
+  const std::size_t before = s.changes.size();
+  calls.PlayTo(130);
+  CHECK(CountIn(s, 1, Step::kIn) == 12);
+  CHECK(s.changes.size() <= before + 2);  // its own alone
+}
+
+TEST_CASE("zones: two halves of a cut tier judge alike, and agree once they hear each other") {
+  TierStage s(RulesFor(16), {}, 12);
+  Calls calls(s, 8, [&](int, int, int zone) {
+    return zone == 1 && s.now >= 105 && s.now < 112 ? Bad(Outcome::kTimeout) : Met{Outcome::kServed, 0.05};
+  });
+  s.StartAll();
+  s.cut = [&](int from, int to) { return s.now >= 104 && s.now < 110 && (from < 8) != (to < 8); };
+  calls.PlayTo(108);
+  CHECK(CountIn(s, 1, Step::kOut) == 16);
+  calls.PlayTo(116);
+  CHECK(CountIn(s, 1, Step::kOut) == 0);
+  CHECK(s[0].StageOf(1).round == s[15].StageOf(1).round);
+  calls.PlayTo(124);
+  CHECK(CountIn(s, 1, Step::kIn) == 16);
+}
+
+TEST_CASE("zones: seven in ten relays are killed during the outage; the rest returns without them") {
+  TierStage s(RulesFor(20), {}, 13);
+  Calls calls(s, 8, [&](int, int, int zone) {
+    return zone == 1 && s.now >= 105 && s.now < 114 ? Bad(Outcome::kReset) : Met{Outcome::kServed, 0.05};
+  });
+  s.StartAll();
+  calls.PlayTo(108);
+  for (int relay = 6; relay < 20; ++relay) s.Kill(relay, relay % 2 == 0);
+  calls.PlayTo(130);
+  CHECK(CountIn(s, 1, Step::kIn) == 6);
+  for (int relay = 6; relay < 20; ++relay) s.Start(relay);
+  calls.PlayTo(s.now + 2);
+  CHECK(CountIn(s, 1, Step::kIn) == 20);
+}
+
+// What is no zone's failure. Whatever the draw, nobody leaves.
+TEST_CASE("zones: none is left over 1,000 scripts of what is no zone's failure") {
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    pcg32 draw(seed, 31);
+    const int size = 2 + static_cast<int>(draw(11));
+    const int kind = static_cast<int>(seed % 8), bad = static_cast<int>(draw(kPartners));
+    const int some = 1 + static_cast<int>(draw(static_cast<std::uint32_t>(std::max(1, size / 5))));
+    const Outcome how = std::vector<Outcome>{Outcome::kConnectFailed, Outcome::kReset, Outcome::kTimeout,
+                                             Outcome::kError}[draw(4)];
+    lab::LinkPlan links;
+    links.loss = draw(3) * 0.3;
+    TierStage s(RulesFor(size), links, seed);
+    pcg32 chance(seed, 33);
+    const auto one_in = [&](std::uint32_t n) { return chance(n) == 0; };
+    Calls calls(s, 2 + draw(8), [&](int relay, int partner, int zone) -> Met {
+      if (s.now < 102) return {};
+      switch (kind) {
+        case 0:  // one partner, however much it is called, in one zone
+          return zone == 1 && partner == bad ? Bad(how) : Met{};
+        case 1:  // three partners everywhere, and one a little
+          return (partner + 12 - bad) % 12 < 3 || (zone == 1 && partner == 5 && one_in(3)) ? Bad(how) : Met{};
+        case 2:  // a few relays have lost their own way to it; of four or fewer one is a quarter
+          return zone == 1 && relay < some && size > 4 * some ? Bad(how) : Met{};
+        case 3:  // all at once
+          return Bad(how);
+        case 4:  // everything is slow at once
+          return {Outcome::kServed, 0.2 + 0.25 * std::min(8.0, s.now - 102)};
+        case 5:  // discovery is wrong about a third of a zone's endpoints
+          return zone == 2 && partner % 3 == 0 ? Bad(Outcome::kConnectFailed) : Met{};
+        case 6:  // half of the partners of a zone are above their limits: two calls in three are turned away
+          return zone == 1 && partner % 2 == 0 && !one_in(3) ? Bad(Outcome::kFull)
+                                                             : Met{Outcome::kServed, 0.05};
+        default:  // one call in four fails by chance, everywhere
+          return one_in(4) ? Bad(how) : Met{};
+      }
+    });
+    s.StartAll();
+    calls.PlayTo(110);
+    for (int zone = 0; zone < kZones; ++zone)
+      REQUIRE_MESSAGE(CountIn(s, zone, Step::kOut) == 0, "seed ", seed, ", kind ", kind, ", zone ", zone);
+    for (const auto& change : s.changes)
+      REQUIRE_MESSAGE(change.now.step != Step::kOut, "seed ", seed, ", kind ", kind);
+  }
+}
+
+TEST_CASE("zones: where half of the tier is served the other half leaves nobody's zone") {
+  TierStage s(RulesFor(20), {}, 14);
+  Calls calls(s, 8, [&](int relay, int, int zone) {
+    return zone == 1 && relay < 10 && s.now >= 103 ? Bad(Outcome::kReset) : Met{Outcome::kServed, 0.05};
+  });
+  s.StartAll();
+  calls.PlayTo(125);
+  for (const auto& change : s.changes) CHECK(change.now.step != Step::kOut);
+}
+
+TEST_CASE("zones: one relay that accuses falsely moves nobody") {
+  TierStage s(RulesFor(8), {}, 15);
+  Calls calls(s, 6, [&](int relay, int, int) { return relay == 3 ? Bad(Outcome::kReset) : Met{}; });
+  s.StartAll();
+  calls.PlayTo(120);
+  CHECK(s.changes.empty());
+}
+
+// Three relays, two zones: whatever order reports come in, doubled or lost, the latest of each that came
+// counts.
+TEST_CASE("zones: reports merge alike in every order, with every loss, over a restart") {
+  struct Sent {
+    int from;
+    std::uint64_t life, number;
+    zones::Report report;
+  };
+  const auto report = [](std::uint32_t good, std::uint32_t bad) {
+    zones::ZoneReport z, other;
+    z.good = good;
+    z.bad = bad;
+    z.good_age = good != 0 ? 0.2 : 3;
+    z.bad_age = bad != 0 ? 0.1 : 3;
+    other.good = 1;
+    other.good_age = 0.1;
+    return zones::Report{z, other};
+  };
+  const std::vector<Sent> sent = {{0, 1, 5, report(0, 3)}, {0, 1, 6, report(3, 0)},
+                                  {1, 4, 9, report(4, 0)}, {1, 5, 1, report(0, 6)},  // it has started anew
+                                  {2, 2, 1, report(0, 5)}, {2, 2, 7, report(0, 9)}};
+  std::vector<int> order(sent.size());
+  std::iota(order.begin(), order.end(), 0);
+  int checked = 0;
+  for (unsigned came = 0; came < 64; ++came) {
+    std::optional<std::tuple<int, int, int, int, bool>> expected;
+    do {
+      zones::Agreement a({}, 2);
+      for (const int i : order)
+        for (int twice = 0; twice < 2; ++twice)
+          if ((came >> i & 1U) != 0) {
+            const Sent& n = sent[static_cast<std::size_t>(i)];
+            a.Add(10, n.from, n.life, n.number, n.report);
+          }
+      const zones::View v = a.Of(10.1, 0);
+      const std::tuple now(v.accusers, v.vouchers, v.bad_partners, v.good_partners, a.Failing(10.1, 0, 3));
+      if (!expected) expected = now;
+      REQUIRE(now == *expected);
+      ++checked;
+    } while (std::next_permutation(order.begin(), order.end()));
+  }
+  CHECK(checked == 64 * 720);
+}
+
+TEST_CASE("zones: stages merge alike in every order and with every loss") {
+  const std::vector<zones::Stage> sent = {{1, Step::kLeaving, 0, 3},   {1, Step::kOut, 0, 4},
+                                          {1, Step::kReturning, 0, 5}, {2, Step::kOut, 1, 6},
+                                          {1, Step::kIn, 0, 5.5},      {2, Step::kOut, 1, 6.1}};
+  std::vector<int> order(sent.size());
+  std::iota(order.begin(), order.end(), 0);
+  for (unsigned came = 1; came < 64; ++came) {
+    std::optional<zones::Stage> expected;
+    do {
+      zones::Stages stages({}, 1, 0);
+      for (const int i : order)
+        if ((came >> i & 1U) != 0) stages.Hear(10, 0, sent[static_cast<std::size_t>(i)]);
+      const zones::Stage& now = stages.Of(0);
+      if (!expected) expected = now;
+      REQUIRE(now.round == expected->round);
+      REQUIRE(now.step == expected->step);
+      REQUIRE(now.since == expected->since);
+    } while (std::next_permutation(order.begin(), order.end()));
+  }
+}
+
+TEST_CASE("zones: what a note says of them is read as it was written; cut anywhere it is refused") {
+  zones::Said said;
+  said.stages = {{300, Step::kReturning, 3, 12.34}, {0, Step::kIn, 0, 1e9}};
+  said.report = zones::Report(2);
+  (*said.report)[0].good = 0x80000001;
+  (*said.report)[1].bad = 7;
+  (*said.report)[1].bad_age = 0.37;
+  (*said.report)[1].wrong = Wrong::kSilent;
+  const std::string bytes = zones::WriteSaid(said);
+  const auto read = zones::ReadSaid(bytes);
+  REQUIRE(read);
+  CHECK(read->stages[0].round == 300);
+  CHECK(read->stages[0].step == Step::kReturning);
+  CHECK(read->stages[0].relapses == 3);
+  CHECK(read->stages[0].since == doctest::Approx(12.3));  // never older than it is
+  CHECK((*read->report)[0].good == 0x80000001);
+  CHECK((*read->report)[1].bad_age == doctest::Approx(0.3));
+  CHECK((*read->report)[1].wrong == Wrong::kSilent);
+  for (std::size_t size = 0; size < bytes.size(); ++size) CHECK(!zones::ReadSaid(bytes.substr(0, size)));
+  CHECK(!zones::ReadSaid(bytes + "x"));
+}
+
+}  // namespace
+}  // namespace opalroute
