A left zone is open to a destination whose other endpoints are in doubt

Cause: IsLeft counted an endpoint whose lane is in doubt as one that serves, as its circuit may be closed still (src/rules.cpp, IsLeft); a message then waited for a trial though the left zone may have served it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -198,7 +198,7 @@
     const ZoneShare order = zones_[e.zone];
     if (order.scout || order.share >= 1 || (order.share > 0 && random_.Unit() < order.share)) return false;
     return std::any_of(d.endpoints.begin(), d.endpoints.end(), [this](const Endpoint* o) {
-      return o->listing == Listing::kInService && o->circuit != Circuit::kOpen && zones_[o->zone].share >= 1;
+      return o->listing == Listing::kInService && !IsTrial(*o) && zones_[o->zone].share >= 1;
     });
   }
 
