A keyed repeat leaves before its key's window ends, however late its connection comes up

Change: Send carries leave_by, the end of the window of the first attempt that may have run; a call whose connection comes up after it is not sent, as with a wait told meanwhile.

--- a/include/opalroute/rules.h
+++ b/include/opalroute/rules.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -173,14 +174,14 @@
 struct Wake {
   std::uint64_t label{};
 };
-// How many couriers share limits and cold budgets by now, in place of Settings::couriers: those that are there.
-// 1 or more; more than the tier has where this one is to hold back.
+// How many couriers share limits and cold budgets by now, in place of Settings::couriers: those that are
+// there. 1 or more; more than the tier has where this one is to hold back.
 struct TierSize {
   double parts = 1;
 };
-// What all couriers make of a zone together: this share of the ordinary sends goes there, from 0 to 1, where a
-// destination has endpoints elsewhere. With 0 nothing goes there but a scout's trials; above 0 again all of the
-// zone starts slowly.
+// What all couriers make of a zone together: this share of the ordinary sends goes there, from 0 to 1, where
+// a destination has endpoints elsewhere. With 0 nothing goes there but a scout's trials; above 0 again all of
+// the zone starts slowly.
 struct ZoneShare {
   int zone{};
   double share = 1;
@@ -221,6 +222,9 @@
   MessageId message{};
   EndpointId endpoint{};
   Seconds until{};  // 0: until the client gives up
+  // Danger: a repeat whose connection comes up late may find the window of its key over. Its first byte
+  // leaves before this or never; infinite: whenever.
+  Seconds leave_by = std::numeric_limits<Seconds>::infinity();
 };
 struct Refuse {
   MessageId message{};
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <memory>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include "lab/sockets/endpoints.h"
 #include "lab/sockets/front.h"
 #include "lab/sockets/ledger.h"
+#include "lab/sockets/post.h"
 #include "lab/sockets/registry.h"
 #include "lab/sockets/relay_config.h"
 #include "lab/sockets/relay_process.h"
@@ -57,6 +59,9 @@
             loop_, world_, seed, [this](EndpointId id, int relay) { return endpoints_.AddressOf(id, relay); },
             *this),
         front_(loop_, scenario, traffic_, ledger_, seed) {
+    if (s_.notes)
+      post_ = std::make_unique<Post>(loop_, s_.relays, s_.links, seed,
+                                     [this] { return start_ > 0 ? loop_.Now() - start_ : 0; });
     tally_.result().played = "sockets";
     tally_.result().processes.resize(static_cast<std::size_t>(s_.relays));
     for (EndpointId id = 1; id <= world_.endpoint_count(); ++id)
@@ -65,6 +70,8 @@
       RelayProcess::Plan plan;
       plan.program = options.program;
       plan.arguments = options.relay_arguments;
+      if (s_.tier) plan.arguments.emplace_back("--tier-shares");
+      if (s_.leave) plan.arguments.emplace_back("--tier-zones");
       plan.folder = options.folder + "/relay" + std::to_string(i);
       std::filesystem::remove_all(plan.folder);
       plan.config = [this, i](const std::string& listen) { return ConfigOf(i, listen); };
@@ -100,17 +107,21 @@
   RelayProcess& Of(int relay) { return *relays_[static_cast<std::size_t>(relay)]; }
 
   nlohmann::json ConfigOf(int relay, const std::string& listen) {
-    return {{"name", "n" + std::to_string(relay)},
-            {"listen", listen},
-            {"discovery", net::FormatAddress(registry_.address(relay))},
-            {"seed", std::to_string(random_())},
-            {"limits", {{"sockets", 1024}, {"disk_mb", 3}}},
-            {"known", nlohmann::json::parse(registry_.WholeList(relay))},
-            {"settings", SettingsJson(s_, relay)}};
+    nlohmann::json file = {{"name", "n" + std::to_string(relay)},
+                           {"listen", listen},
+                           {"discovery", net::FormatAddress(registry_.address(relay))},
+                           {"seed", std::to_string(random_())},
+                           {"limits", {{"sockets", 1024}, {"disk_mb", 3}}},
+                           {"known", nlohmann::json::parse(registry_.WholeList(relay))},
+                           {"settings", SettingsJson(s_, relay)}};
+    if (!post_) return file;
+    file["peer_listen"] = net::FormatAddress(post_->ListenOf(relay));
+    for (const sockaddr_in& peer : post_->Peers()) file["peers"].push_back(net::FormatAddress(peer));
+    return file;
   }
 
   void BringUp() {
-    for (const auto& relay : relays_) relay->Start();
+    for (int i = 0; i < s_.relays; ++i) StartRelay(i);
     const Seconds until = loop_.Now() + kAllReady;
     while (std::any_of(relays_.begin(), relays_.end(), [](const auto& relay) { return !relay->ready(); })) {
       for (const auto& relay : relays_) relay->Poll();
@@ -132,7 +143,15 @@
     front_.SetAlive(relay, true);
     if (start_ > 0) auditor_.RelayDied(relay, now() + kAfterReady);  // what it held is due from now on
   }
+  void StartRelay(int relay) {
+    Of(relay).Start();
+    if (post_) post_->SetThere(relay, true);
+  }
+  void OnEnd(int relay) override {
+    if (post_) post_->SetThere(relay, false);
+  }
   void OnCrash(int relay, const std::string& how) override {
+    OnEnd(relay);
     auditor_.RelayDied(relay, 0);
     front_.SetAlive(relay, false);
     tally_.result().crashes.push_back({relay, start_ > 0 ? now() : 0, how, Of(relay).LastLog()});
@@ -168,6 +187,9 @@
         break;
       case RelayFault::Kind::kKill:
         relay.Kill();
+        OnEnd(number);
+        if (fault.forgets)
+          std::filesystem::remove(options_.folder + "/relay" + std::to_string(number) + "/state/tier");
         loop_.At(loop_.Now() + std::min(kFrontSees, fault.down), [this, number] {
           if (!Of(number).ready()) front_.SetAlive(number, false);
         });
@@ -175,7 +197,7 @@
     }
     // From the signal until it is ready again nothing is overdue; OnReady says until when.
     auditor_.RelayDied(number, now() + comes + kToReady);
-    loop_.At(loop_.Now() + comes, [this, number] { Of(number).Start(); });
+    loop_.At(loop_.Now() + comes, [this, number] { StartRelay(number); });
   }
 
   void ChangeList(const PoolChange& change) {
@@ -238,6 +260,11 @@
     r.lateness_p99 = lateness_.At(0.99);
     r.lateness_most = most_late_;
     r.answer_time = front_.answer_times();
+    if (post_) {
+      r.notes = post_->passed();
+      r.note_bytes = post_->bytes();
+    }
+    for (int relay = 0; relay < s_.relays; ++relay) ReadStages(relay);
     if (r.lateness_p99 > options_.most_lateness_p99 || r.lateness_most > options_.most_lateness)
       r.void_because = "the laboratory itself was late: 1% of its beats by " +
                        std::to_string(r.lateness_p99) + " s and more, one by " +
@@ -245,6 +272,27 @@
     return std::move(r);
   }
 
+  // From its log: which stage it was in, one after another. Times are not told.
+  void ReadStages(int relay) {
+    std::ifstream log(options_.folder + "/relay" + std::to_string(relay) + "/log");
+    const auto field = [](const std::string& line, const std::string& name) {
+      const std::size_t at = line.find(" " + name + "=");
+      if (at == std::string::npos) return std::string();
+      const std::size_t from = at + name.size() + 2, to = line.find(' ', from);
+      std::string value = line.substr(from, to == std::string::npos ? to : to - from);
+      value.erase(std::remove(value.begin(), value.end(), '"'), value.end());
+      return value;
+    };
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("zone_stage") == std::string::npos) continue;
+      const auto zone = std::find(s_.zones.begin(), s_.zones.end(), field(line, "zone"));
+      if (zone == s_.zones.end()) continue;
+      tally_.result().stage_changes.push_back({0, relay, static_cast<int>(zone - s_.zones.begin()),
+                                               std::strtoull(field(line, "round").c_str(), nullptr, 10),
+                                               field(line, "stage"), field(line, "heard") == "true"});
+    }
+  }
+
   const Scenario s_;
   const SocketOptions options_;
   pcg32 random_;
@@ -258,6 +306,7 @@
   Endpoints endpoints_;
   Registry registry_;
   Front front_;
+  std::unique_ptr<Post> post_;  // where relays may send one another datagrams
   std::vector<std::unique_ptr<RelayProcess>> relays_;
   LatencyHistogram lateness_;
   Seconds most_late_ = 0;
@@ -271,6 +320,10 @@
     throw config::FieldError(
         "'load.order_keys' can be played in simulated time only: the platform's protocol has no header for "
         "it");
+  for (const Cut& cut : scenario.links.cuts)
+    if (cut.what != Cut::What::kPeers)
+      throw config::FieldError(
+          "'links.cuts' of endpoints and discovery can be played in simulated time only");
   std::filesystem::create_directories(options.folder);
   return SocketPlay(scenario, seed, options).Play();
 }
--- a/lab/sockets/relay_config.cpp
+++ b/lab/sockets/relay_config.cpp
@@ -56,6 +56,7 @@
             {"secondCopies", m.may_copy},
             {"probes", m.may_probe},
             {"retryAfter", m.may_advise_wait},
+            {"peers", m.may_tell_peers},
             {"maxRetryAfterS", m.longest_wait},
             {"connIdleS", 15},
             {"dialTimeoutS", 1.5}}},
--- a/lab/sockets/relay_process.cpp
+++ b/lab/sockets/relay_process.cpp
@@ -91,7 +91,7 @@
   if (const auto how = process_->Ended()) {
     process_.reset();
     const bool was_ready = std::exchange(ready_, false);
-    if (stopping_) return;
+    if (stopping_) return owner_.OnEnd(number_);
     if (!was_ready && tries_ < kPorts) {
       address_ = FreeAddress();
       return Launch();
--- a/lab/sockets/relay_process.h
+++ b/lab/sockets/relay_process.h
@@ -25,6 +25,7 @@
    public:
     virtual ~Owner() = default;
     virtual void OnReady(int relay) = 0;
+    virtual void OnEnd(int) {}  // its process has ended, as it was told to
     // Nobody has told it to end, or it could not start. It stays down.
     virtual void OnCrash(int relay, const std::string& how) = 0;
   };
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -29,7 +29,11 @@
   pool->add_option("FROM", order.pool_of,
                    "address of a relay's --admin-listen; without it --srv is asked for once");
   pool->add_flag("--json", order.as_json, "as JSON instead of a table");
-  for (CLI::App* command : {run, check, snapshot, pool}) command->fallthrough();
+  CLI::App* zones =
+      app.add_subcommand("zones", "print who is there of a relay's tier, and the stage of each zone");
+  zones->add_option("FROM", order.zones_of, "address of a relay's --admin-listen")->required();
+  zones->add_flag("--json", order.as_json, "as JSON instead of a table");
+  for (CLI::App* command : {run, check, snapshot, pool, zones}) command->fallthrough();
   try {
     const config::OperatorOptions options(app, environment);
     app.parse(argc, argv);
@@ -42,6 +46,7 @@
   if (*check) order.command = Command::kCheck;
   if (*snapshot) order.command = Command::kSnapshot;
   if (*pool) order.command = Command::kPool;
+  if (*zones) order.command = Command::kZones;
   return parsed;
 }
 
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -9,7 +9,7 @@
 
 namespace opalroute::cli {
 
-enum class Command { kRun, kCheck, kSnapshot, kPool };
+enum class Command { kRun, kCheck, kSnapshot, kPool, kZones };
 
 struct Order {
   Command command = Command::kRun;
@@ -17,6 +17,7 @@
   std::vector<std::string> faults;  // of the operators' settings, one a line
   std::string snapshot_of;          // an address or a state folder
   std::string pool_of;              // an address, or nothing
+  std::string zones_of;             // an address
   bool as_json = false;
 };
 
--- a/src/cli/pool.cpp
+++ b/src/cli/pool.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "cli/page.h"
 #include "net/address.h"
 #include "net/http_client.h"
 #include "pool/discovery.h"
@@ -18,45 +19,6 @@
 
 constexpr net::Seconds kTime = 10;  // for all of it
 
-// One question to a relay's --admin-listen.
-class Fetch : public net::HttpClient::Call {
- public:
-  explicit Fetch(const sockaddr_in& from) : client_(loop_, Bounds()) {
-    timer_ = loop_.At(loop_.Now() + kTime, [this] { loop_.Stop(); });
-    client_.Start({from}, *this);
-    loop_.Run();
-    if (!settled_) client_.Abandon(*this);
-  }
-  ordered_json page;
-
- private:
-  static net::ClientBounds Bounds() {
-    const Limits limits;
-    net::ClientBounds bounds;
-    bounds.http = {limits.head_bytes, limits.header_count, limits.admin_bytes};
-    bounds.request_bytes = limits.head_bytes;
-    bounds.connections = 1;
-    bounds.connect_time = bounds.idle_time = bounds.answer_time = bounds.rest_time = kTime;
-    return bounds;
-  }
-  std::string OnReady() override { return net::WriteRequest("GET", "/pool", {{"Host", "admin"}}, ""); }
-  void OnAnswer(net::HttpMessage& answer) override {
-    if (answer.status == 200) page = ordered_json::parse(answer.body, nullptr, false);
-    settled_ = true;
-    loop_.Stop();
-  }
-  void OnBroken(net::HttpClient::Broken, int) override {
-    settled_ = true;
-    loop_.Stop();
-  }
-
-  const net::SystemClock clock_;
-  net::EventLoop loop_{clock_};
-  net::HttpClient client_;
-  net::EventLoop::TimerId timer_ = 0;
-  bool settled_ = false;
-};
-
 class Nobody : public PoolSource::Listener {
  public:
   void OnPoolNews(const PoolNews&) override {}
@@ -104,7 +66,7 @@
       std::cerr << "'" << from << "' is no address like 127.0.0.1:80\n";
       return 2;
     }
-    page = Fetch(*address).page;
+    page = FetchPage(*address, "/pool");
     if (!page.is_object()) {
       std::cerr << "no relay told its pool at " << from << " (see --admin-listen)\n";
       return 1;
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -45,6 +45,7 @@
   std::size_t notice_lines = 64;  // in one request
   // between relays
   std::size_t datagram_bytes = 256;
+  double tier_kept = 120;  // seconds that a zone's stage in the state folder is good for
   // learning from running instances
   int learn_sessions = 4;              // learners served at once
   double learn_session = 5;            // seconds that one of them may take
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -22,6 +22,11 @@
     double longest_wait = 30;           // seconds for which a wait by hearsay holds at most; 0 to 3600
     bool on() const { return listen || !from.empty() || notes || state; }
   } learn;
+  struct Tier {
+    bool shares = false;  // parts of limits follow how many relays of the tier are there
+    bool zones = false;   // failing zones are left, and returned to, by all relays together
+    bool on() const { return shares || zones; }
+  } tier;
   std::optional<sockaddr_in> admin_listen;  // what a running relay tells its operators
   struct Dns {
     std::vector<sockaddr_in> servers;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "cli/command_line.h"
 #include "cli/pool.h"
 #include "cli/snapshot.h"
+#include "cli/zones.h"
 #include "config/config.h"
 #include "log/log.h"
 #include "net/address.h"
@@ -90,6 +91,8 @@
   if (order.command == opalroute::cli::Command::kSnapshot)
     return opalroute::cli::Snapshot(order.snapshot_of, order.as_json);
   if (order.command == opalroute::cli::Command::kCheck) return opalroute::cli::Check(order, Variable);
+  if (order.command == opalroute::cli::Command::kZones)
+    return opalroute::cli::Zones(order.zones_of, order.as_json);
   for (const std::string& fault : order.faults) std::cerr << fault << '\n';
   if (!order.faults.empty()) return 2;
   if (order.command == opalroute::cli::Command::kPool)
--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -37,6 +37,7 @@
   ServerFlow::Member member;
   member.message = send.message;
   member.attempt = static_cast<int>(t->journaled.size());
+  member.leave_by = send.leave_by;
   member.until = send.until > 0 ? std::min(send.until, t->deadline) : t->deadline;
   member.id = t->id;
   member.key = t->key;
@@ -75,8 +76,10 @@
 
 bool Calls::MayLeave(const ServerFlow& flow, const ServerFlow::Member& member) {
   Transaction& t = transactions_.At(member.message);
-  // A wait may have been told, or a drain, while the call waited for its connection.
-  if (t.over || member.until <= loop_.Now() || !driver_.module().MayLeave(loop_.Now(), flow.endpoint())) {
+  // // A wait may have been told, or a drain, or a key's window may have ended, while it waited for its
+  // connection.
+  if (t.over || member.until <= loop_.Now() || member.leave_by <= loop_.Now() ||
+      !driver_.module().MayLeave(loop_.Now(), flow.endpoint())) {
     ++counters_.not_left;
     return false;
   }
--- a/src/relay/module_driver.cpp
+++ b/src/relay/module_driver.cpp
@@ -21,6 +21,7 @@
     const Event next = std::move(events_.front());
     events_.pop_front();
     std::vector<Action> actions;
+    owner_.OnEvent(next);
     courier_.Handle(loop_.Now(), next, actions);
     if (!std::holds_alternative<TurnEnd>(next)) ArmTurn();
     owner_.Apply(actions);
--- a/src/relay/module_driver.h
+++ b/src/relay/module_driver.h
@@ -19,6 +19,7 @@
     virtual void Apply(const std::vector<Action>& actions) = 0;
     virtual void BeforeTurnEnds() = 0;
     virtual void AfterTurnEnded() = 0;
+    virtual void OnEvent(const Event& event) = 0;  // before the module takes it
   };
 
   ModuleDriver(net::EventLoop& loop, const Settings& settings, Owner& owner);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -71,7 +71,9 @@
 // Where another process may run beside this one, each has half of the disk.
 std::size_t Relay::JournalBytes() const {
   const std::size_t learned = settings_.learn.state ? config_.limits.learn_file_bytes : 0;
-  const std::size_t beside = learned + 2 * config_.limits.ban_bytes;  // a file and the one that replaces it
+  const std::size_t tier = settings_.tier.on() ? TierState::kMostBytes : 0;
+  const std::size_t beside =
+      learned + tier + 2 * config_.limits.ban_bytes;  // a file and the one that replaces it
   const std::size_t disk = config_.limits.disk_bytes, rest = disk - std::min(disk / 2, beside);
   return config_.inherited_fd >= 0 ? rest / operation::kSeats : rest;
 }
@@ -118,7 +120,8 @@
           loop, *settings.admin_listen, config.limits,
           Admin::Pages{
               {"/pool", [this] { return joined_ ? joined_->Print().dump() : endpoints_.Print().dump(); }},
-              {"/counters", [this] { return counters_.Print(); }}});
+              {"/counters", [this] { return counters_.Print(); }},
+              {"/zones", [this] { return (tier_ ? tier_->Print() : nlohmann::ordered_json()).dump(); }}});
     });
   if (config.inherited_fd >= 0)
     waits_ = std::make_unique<operation::SharedWaits>(config.state_folder, seats_.own(), seats_.other(),
@@ -132,6 +135,7 @@
     StartOrStayOff("learning from running instances", [&] {
       learning_ = std::make_unique<learning::Learning>(loop, config, settings.learn, learning_host_);
     });
+  if (settings.tier.on()) JoinTier();
   Restore();
   // Where changes are said to come by themselves the module asks for none; over HTTP a watch brings them.
   if (!config.settings.ask_for_list) discovery_.Watch(true);
@@ -282,6 +286,11 @@
           for (std::size_t i = 0; i < config_.peers.size(); ++i)
             if (net::FormatAddress(config_.peers[i]) == net::FormatAddress(from))
               return TakeNote(static_cast<int>(i), std::move(bytes));
+        },
+        [this](const sockaddr_in& to) {
+          for (std::size_t i = 0; tier_ && i < config_.peers.size(); ++i)
+            if (net::FormatAddress(config_.peers[i]) == net::FormatAddress(to))
+              return tier_->Refused(static_cast<int>(i));
         });
   } catch (const std::system_error& error) {
     // The process that this one takes over from has it still, until it is told to end.
@@ -290,7 +299,21 @@
   }
 }
 
+// Needs notes to all others, and a number of its own among them.
+void Relay::JoinTier() {
+  const char* lacking = !peers_ && !peers_later_    ? "'peer_listen' is not set"
+                        : !config_.may_tell_peers   ? "the settings allow no notes between relays"
+                        : config_.peers.size() < 2  ? "'peers' names no others"
+                        : config_.own_peer < 0      ? "'settings.me' is none of 'peers'"
+                        : config_.inherited_fd >= 0 ? "two processes of this relay may run at once"
+                                                    : nullptr;
+  if (lacking != nullptr) return log::Warn("feature_off", {{"feature", "tier"}, {"why", lacking}});
+  tier_ = std::make_unique<TierHost>(loop_, config_, settings_.tier, endpoints_,
+                                     static_cast<TierHost::Owner&>(*this));
+}
+
 void Relay::TakeNote(int peer, std::string bytes) {
+  if (tier_ && tier_->TakeNote(peer, bytes)) return;
   if (learning_ && learning_->TakeNote(peer, bytes)) return;
   driver_.Post(PeerNote{peer, std::move(bytes)});
 }
@@ -298,7 +321,12 @@
 void Relay::TellPeers(const opalroute::TellPeers& tell) {
   if (!peers_) return;
   if (!tell.peer) {
-    if (config_.peers_all) peers_->Send(*config_.peers_all, tell.bytes);
+    if (config_.peers_all) {
+      peers_->Send(*config_.peers_all, tell.bytes);
+    } else if (tier_) {
+      for (std::size_t i = 0; i < config_.peers.size(); ++i)
+        if (static_cast<int>(i) != config_.own_peer) peers_->Send(config_.peers[i], tell.bytes);
+    }
   } else if (*tell.peer >= 0 && *tell.peer < static_cast<int>(config_.peers.size())) {
     peers_->Send(config_.peers[*tell.peer], tell.bytes);
   }
@@ -401,6 +429,7 @@
 void Relay::Apply(const std::vector<Action>& actions) {
   for (const Action& action : actions) {
     if (const auto* send = std::get_if<Send>(&action)) {
+      if (tier_) tier_->Sent(send->endpoint);
       calls_.Gather(*send);
     } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
       EndWithNotice(refuse->message, "handed_back", refuse->wait);
@@ -409,6 +438,7 @@
     } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
       calls_.Cancel(*cancel);
     } else if (const auto* probe = std::get_if<Probe>(&action)) {
+      if (tier_) tier_->Sent(probe->endpoint);
       calls_.StartProbe(probe->endpoint);
     } else if (const auto* wake = std::get_if<SetWake>(&action)) {
       driver_.WakeAt(*wake);
@@ -472,17 +502,22 @@
     server_.http().CloseIdle();
     stop_timer_ = loop_.At(loop_.Now() + limits.stop_time - limits.stop_take_on, [this] {
       stop_timer_ = 0;
-      stopped_();
+      End();
     });
     CheckStopped();
   });
 }
 
+void Relay::End() {
+  if (tier_) tier_->Leave();
+  stopped_();
+}
+
 // What is still open then is in the journal; the next process goes on with it.
 void Relay::CheckStopped() {
   if (!stopping_ || !may_end_ || calls_.out() > 0 || !notices_.empty()) return;
   if (config_.inherited_fd < 0 && transactions_.open() > 0) return;
-  stopped_();
+  End();
 }
 
 }  // namespace opalroute
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -28,6 +28,7 @@
 #include "relay/learning_host.h"
 #include "relay/module_driver.h"
 #include "relay/notices.h"
+#include "relay/tier_host.h"
 #include "relay/transaction_table.h"
 #include "relay/virtual_server.h"
 
@@ -36,6 +37,7 @@
 class Relay : private Transactions,
               private ModuleDriver::Owner,
               private PoolSource::Listener,
+              private TierHost::Owner,
               private operation::Operated {
  public:
   Relay(net::EventLoop& loop, const Config& config, const Operator& settings = {});
@@ -58,11 +60,19 @@
   // Transactions
   TakeOn Take(ClientRequest&& request, std::uint64_t& ticket) override;
   void Withdraw(std::uint64_t ticket) override;
-  bool Ready() const override { return ready_ && !stopping_ && (!learning_ || learning_->done()); }
+  bool Ready() const override {
+    return ready_ && !stopping_ && (!learning_ || learning_->done()) && (!tier_ || tier_->Joined());
+  }
   // ModuleDriver::Owner
   void Apply(const std::vector<Action>& actions) override;
   void BeforeTurnEnds() override;
   void AfterTurnEnded() override;
+  void OnEvent(const Event& event) override {
+    if (tier_) tier_->Saw(event);
+  }
+  // TierHost::Owner
+  void PostTier(Event event) override { driver_.Post(std::move(event)); }
+  void SendNote(std::optional<int> peer, const std::string& bytes) override { TellPeers({peer, bytes}); }
   // PoolSource::Listener
   void OnPoolNews(const PoolNews& news) override;
   void OnPoolFailed() override;
@@ -85,6 +95,8 @@
   void RestoreOne(const JournalEntry& entry);
   void EndWithNotice(MessageId message, const char* outcome, Seconds wait);
   void CheckStopped();
+  void End();
+  void JoinTier();
 
   net::EventLoop& loop_;
   const Config& config_;
@@ -106,6 +118,7 @@
   std::unique_ptr<net::DatagramSocket> peers_;
   LearningHost learning_host_;
   std::unique_ptr<learning::Learning> learning_;
+  std::unique_ptr<TierHost> tier_;  // off unless the operators' settings turn it on
   std::vector<EndpointId> unused_;  // as the turn began to end
 
   sockaddr_in discovery_at_;
--- a/src/relay/server_flow.h
+++ b/src/relay/server_flow.h
@@ -15,6 +15,7 @@
     MessageId message = 0;
     int attempt = 0;
     Seconds until = 0;
+    Seconds leave_by = 0;       // its first byte leaves before this or never
     std::string id, key, body;  // as they pass on
     bool waits = true;          // for its outcome
     net::EventLoop::TimerId timer = 0;
--- /dev/null
+++ b/src/relay/tier_state.h
@@ -0,0 +1,37 @@
+// What a relay keeps of its tier over restarts, in the state folder: the life of its process, so that notes
+// of an earlier one are known as such whatever the clock says, and the stage of each zone by name.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "zones/stages.h"
+
+namespace opalroute {
+
+class TierState {
+ public:
+  static constexpr std::size_t kMostBytes = 4096;  // on the disk, with the file that takes its place
+
+  explicit TierState(std::string folder) : path_(std::move(folder) + "/tier") {}
+
+  struct Kept {
+    std::uint64_t life = 0;
+    std::vector<zones::Stage> stages;  // by zone as `zones` has them, with ages; empty: nothing was kept
+    std::string end = "none";  // whole; none: there is no file; broken, other version, other relay, too old
+  };
+  // `now`: Unix time in microseconds. Stages older than `oldest` seconds, or from a clock that was ahead, are
+  // passed over; the life counts all the same.
+  Kept Load(const std::string& relay, const std::vector<std::string>& zones, std::int64_t now,
+            double oldest) const;
+  // False: the folder took nothing, and the old file stands.
+  bool Save(const std::string& relay, const std::vector<std::string>& zones, std::int64_t now,
+            std::uint64_t life, const std::vector<zones::Stage>& stages) const;
+  const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+};
+
+}  // namespace opalroute
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -613,7 +613,6 @@
 
   bool LooksIdle(const Endpoint& e) const { return e.out.empty() && (e.unmet || e.latest_good); }
 
-  // One draw serves as many waiting messages as may share a call.
   void SendCall(Destination& d, Endpoint& first, Endpoint* second) {
     const bool both_idle = second != nullptr && LooksIdle(first) && LooksIdle(*second);
     const std::uint64_t call = OpenCall(d, first);
@@ -665,7 +664,8 @@
     m.attempts.push_back({e.endpoint, e.zone, call, now_});
     ++m.out;
     m.where = Message::Where::kOut;
-    actions_->push_back(Send{m.message, e.endpoint, TimeoutFor(m, e, stretch)});
+    const Seconds leave_by = BoundsOf(m).value_or(Bounds{}).until;  // rule 2 binds its first byte
+    actions_->push_back(Send{m.message, e.endpoint, TimeoutFor(m, e, stretch), leave_by});
     SetExpiry(m);
   }
 
@@ -940,8 +940,7 @@
   }
 
   void On(const Withdrawn& w) {
-    const auto m = messages_.find(w.message);
-    if (m != messages_.end() && !m->second.over) Close(m->second);
+    if (const auto m = messages_.find(w.message); m != messages_.end() && !m->second.over) Close(m->second);
   }
 
   void On(const AnswerBegun& begun) {
--- a/src/tier/tier.cpp
+++ b/src/tier/tier.cpp
@@ -75,7 +75,7 @@
   const Peer next = NextToAsk();
   const bool silent = LifeOf(now, next) != Life::kLive;
   Ask(now, next, NoteKind::kAsk, out);
-  // // One that is not there tells nothing of others, so some are asked that were heard of late.
+  // One that is not there tells nothing of others, so some are asked that were heard of late.
   if (!silent) return;
   std::vector<Peer> heard;
   for (Peer peer = 0; peer < rules_.size; ++peer)
--- a/src/tier/tier.h
+++ b/src/tier/tier.h
@@ -69,7 +69,7 @@
  private:
   struct Other {
     std::uint64_t life = 0, number = 0;  // of the latest note
-    Seconds heard = 0, told = 0;         // // by this relay; by the latest word of others
+    Seconds heard = 0, told = 0;         // by this relay; by the latest word of others
     Seconds asked = 0;                   // the earliest datagram to it that nothing has come of
     std::uint64_t question = 0;          // the number of the latest one ...
     Seconds asked_last = 0;
--- a/src/zones/agreement.h
+++ b/src/zones/agreement.h
@@ -42,11 +42,11 @@
     Seconds fresh = 1;      // a call that was served counts for so long from when it was sent ...
     Seconds bad_for = 1.5;  // ... and one that was not from when that was known
     double quorum =
-        0.25;  // // of the tier's parts, and one more, must accuse where there are two and more ...
+        0.25;  // of the tier's parts, and one more, must accuse where there are two and more ...
     int most_quorum = 20;       // ... though no more than this
     double against = 0.25;      // vouchers over accusers, from which on nothing is agreed
     double partners = 0.6;      // of the zone's partners that were seen must fail
-    int least_partners = 2;     // // and so many, ...
+    int least_partners = 2;     // and so many, ...
     int least_words = 6;        // on so many words
     double control = 0.25;      // of the accusers: so many relays must be served in one other zone, ...
     Seconds control_for = 1.5;  // ... within this
@@ -59,7 +59,7 @@
   void Forget(Seconds now);
   View Of(Seconds now, int zone) const;
   int QuorumOf(double parts) const;
-  // // The zone as a whole does not serve, though another one does: to relays whose calls there were sent
+  // The zone as a whole does not serve, though another one does: to relays whose calls there were sent
   // since `control_since`.
   bool Failing(Seconds now, int zone, double parts, Seconds control_since = -1e9) const;
   // The same relays say otherwise: at least a quarter as many as accuse it are served there.
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -720,6 +720,26 @@
   EXPECT_TRUE(belief().back);  // a slow start
 }
 
+// Rule 2 binds a repeat's first byte; the call may wait for its connection until then.
+TEST_F(RulesTest, ARepeatSaysWhenItsFirstByteMustHaveLeft) {
+  List({Entry(1, 1)});
+  for (const int message_class : {kSafeClass, kKeyedClass}) {
+    const MessageId id = 100 + static_cast<MessageId>(message_class);
+    Take(id, message_class);
+    EndTurn();
+    ASSERT_EQ(SendsOf(id).size(), 1U);
+    const Seconds first = now_;
+    now_ += 0.1;
+    Tell(id, 0, 1, Outcome::kReset);
+    RunTo(now_ + 1);
+    ASSERT_EQ(SendsOf(id).size(), 2U);
+    const Seconds leave_by = SendsOf(id)[1].leave_by;
+    EXPECT_EQ(leave_by > 1e9, message_class == kSafeClass);
+    EXPECT_TRUE(leave_by > 1e9 || std::abs(leave_by - first - 8) < 0.011) << leave_by;
+    Tell(id, 1, 1, Outcome::kServed);
+  }
+}
+
 // ---- the tier and its zones --------------------------------------------------------------------
 
 // What is shared by three is shared by one once the others have gone: the even part, and with it the pace
