--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -99,5 +99,15 @@
   CHECK(json.find('\n') == std::string::npos);
 }
 
+TEST_CASE("the tier is off unless the operators' settings turn it on") {
+  CHECK(!ReadSettings("{}").settings.tier.on());
+  const Read both = ReadSettings(R"({"tier": {"shares": true}})", {"--tier-zones"});
+  CHECK(both.faults.empty());
+  CHECK(both.settings.tier.shares);
+  CHECK(both.settings.tier.zones);
+  CHECK(ReadSettings(R"({"tier": {"zones": "yes"}})").faults ==
+        std::vector<std::string>{"key 'tier.zones' of the operators' file must hold true or false"});
+}
+
 }  // namespace
 }  // namespace opalroute
--- /dev/null
+++ b/tests/tier_processes_test.cpp
@@ -0,0 +1,107 @@
+// 24 processes of the program with faults between them: notes lost, a zone shut, processes killed and frozen.
+// Verdicts are counts and order, whatever the machine's speed.
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <map>
+
+#include "lab/sockets/play.h"
+#include "lab/sockets/post.h"
+
+namespace opalroute::lab {
+namespace {
+
+namespace fs = std::filesystem;
+
+class Folder {
+ public:
+  Folder()
+      : path_((fs::temp_directory_path() / ("opalroute-tier-test-" + std::to_string(getpid()))).string()) {}
+  ~Folder() { fs::remove_all(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+};
+
+TEST_CASE(
+    "processes: 24 of them leave a zone that is shut, and return, though six are killed and two frozen") {
+  const Folder folder;
+  SocketOptions options;
+  options.program = RELAY_PROGRAM;
+  options.folder = folder.path();
+  options.most_lateness = options.most_lateness_p99 = 1e9;
+  const Scenario scenario = LoadScenario(std::string(SCENARIOS) + "/zone_processes.json");
+  const RunResult r = PlayOnSockets(scenario, 1, options);
+  for (const Breach& b : r.breaches) FAIL_CHECK(NameOf(b.kind), " ", b.at, " ", b.trace);
+  for (const Crash& c : r.crashes) FAIL_CHECK(c.relay, " ", c.how, "\n", c.last_log);
+  std::map<int, std::string> steps;  // by relay, of the zone, in their order
+  for (const StageChange& c : r.stage_changes) {
+    if (c.zone == 1) steps[c.relay] += c.step + " ";
+    CHECK_MESSAGE((c.zone == 1 || c.step != "out"), "relay ", c.relay, " has left zone ", c.zone);
+  }
+  CHECK(steps.size() == 24);
+  for (const auto& [relay, order] : steps) {
+    CAPTURE(relay);
+    CAPTURE(order);
+    const std::size_t out = order.find("out"),
+                      returning = order.find("returning", out == std::string::npos ? 0 : out);
+    CHECK(out != std::string::npos);
+    CHECK(returning != std::string::npos);
+    CHECK(order.rfind("in ") == order.size() - 3);
+  }
+  long into = 0, all = 0;
+  for (std::size_t second = 8; second < 11; ++second) {
+    into += r.seconds[second].zone_calls.size() > 1 ? r.seconds[second].zone_calls[1] : 0;
+    all += r.seconds[second].calls;
+  }
+  CHECK(into * 4 < all);
+  CHECK(r.notes > 1000);
+}
+
+// Two relays' sockets and the forwarder between them, in this process.
+TEST_CASE("processes: the forwarder shows who sent, refuses for who is not there, and is silent in a cut") {
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  LinkPlan plan;
+  plan.delay = {0, 0.001};
+  Cut cut;
+  cut.from = 10;
+  cut.lasts = 1e6;
+  plan.cuts.push_back(cut);
+  Seconds now = 0;
+  Post post(loop, 3, plan, 1, [&now] { return now; });
+  const std::vector<sockaddr_in> peers = post.Peers();
+  std::vector<std::string> got;
+  int refused = 0;
+  net::DatagramSocket first(
+      loop, post.ListenOf(0), 256, [](const sockaddr_in&, const std::string&) {},
+      [&](const sockaddr_in& to) { refused += to.sin_port == peers[2].sin_port; });
+  net::DatagramSocket second(loop, post.ListenOf(1), 256,
+                             [&](const sockaddr_in& from, const std::string& bytes) {
+                               got.push_back((from.sin_port == peers[0].sin_port ? "0:" : "?:") + bytes);
+                             });
+  post.SetThere(0, true);
+  post.SetThere(1, true);
+  const auto until = [&](const std::function<bool()>& holds) {
+    for (int i = 0; i < 2000 && !holds(); ++i) loop.RunOnce(0.005);
+    return holds();
+  };
+  first.Send(peers[1], "one");
+  CHECK(until([&] { return got.size() == 1; }));
+  CHECK(got[0] == "0:one");
+  first.Send(peers[2], "nobody");
+  CHECK(until([&] { return refused == 1; }));
+  now = 20;  // cut off from all others
+  first.Send(peers[1], "two");
+  post.SetThere(2, false);
+  first.Send(peers[2], "nobody");
+  first.Send(peers[1], "three");
+  for (int i = 0; i < 20; ++i) loop.RunOnce(0.005);
+  CHECK(got.size() == 1);
+  CHECK(refused == 1);
+}
+
+}  // namespace
+}  // namespace opalroute::lab
--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -1,6 +1,12 @@
 // Who is there: parts of limits under cuts, kills and freezes. Counts and order alone, on a fake clock.
 #include <doctest/doctest.h>
+#include <unistd.h>
 
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "relay/tier_state.h"
 #include "tier_stage.h"
 
 namespace opalroute {
@@ -141,6 +147,50 @@
   CHECK(t.Parts(20) == 4);
 }
 
+TEST_CASE(
+    "tier: what was kept is read as it was written; torn at any byte, or another's, it is passed over") {
+  namespace fs = std::filesystem;
+  const fs::path folder = fs::temp_directory_path() / ("opalroute-tier-state-" + std::to_string(getpid()));
+  fs::create_directories(folder);
+  const TierState state(folder.string());
+  const std::vector<std::string> names = {"ground", "first"};
+  constexpr std::int64_t kNow = 1'764'000'000'000'000;
+  CHECK(state.Load("n1", names, kNow, 120).end == "none");
+  REQUIRE(state.Save("n1", names, kNow, 77, {{3, zones::Step::kOut, 2, 4.5}, {1, zones::Step::kIn, 0, 100}}));
+  const auto kept = state.Load("n1", {"first", "new", "ground"}, kNow + 2'000'000, 120);
+  CHECK(kept.end == "whole");
+  CHECK(kept.life == 77);
+  REQUIRE(kept.stages.size() == 3);
+  CHECK(kept.stages[2].step == zones::Step::kOut);
+  CHECK(kept.stages[2].round == 3);
+  CHECK(kept.stages[2].relapses == 2);
+  CHECK(kept.stages[2].since == doctest::Approx(6.5));
+  CHECK(kept.stages[1].step == zones::Step::kIn);
+  CHECK(state.Load("n2", names, kNow, 120).end == "other relay");
+  CHECK(state.Load("n2", names, kNow, 120).stages.empty());
+  for (const std::int64_t now : {kNow + 121'000'000, kNow - 1'000'000}) {  // old, or the clock was set back
+    CHECK(state.Load("n1", names, now, 120).end == "too old");
+    CHECK(state.Load("n1", names, now, 120).life == 77);  // its notes must still be newer
+    CHECK(state.Load("n1", names, now, 120).stages.empty());
+  }
+  std::stringstream whole;
+  whole << std::ifstream(state.path(), std::ios::binary).rdbuf();
+  const std::string bytes = whole.str();
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    std::ofstream(state.path(), std::ios::binary | std::ios::trunc) << bytes.substr(0, size);
+    CHECK(state.Load("n1", names, kNow, 120).end == "broken");
+    std::string wrong = bytes;
+    wrong[size] = static_cast<char>(wrong[size] ^ 1);
+    std::ofstream(state.path(), std::ios::binary | std::ios::trunc) << wrong;
+    CHECK(state.Load("n1", names, kNow, 120).stages.empty());
+  }
+  fs::permissions(folder, fs::perms::owner_read | fs::perms::owner_exec);
+  if (geteuid() != 0) CHECK(!state.Save("n1", names, kNow, 78, {}));
+  fs::permissions(folder, fs::perms::owner_all);
+  fs::remove_all(folder);
+  CHECK(!state.Save("n1", names, kNow, 78, {}));  // no folder at all
+}
+
 // Kills, starts, freezes and cuts of every kind at once: never are more parts held than a whole and one.
 TEST_CASE("tier: parts stay under a whole and one over 1,000 scripts of cuts and kills") {
   int grown = 0;
--- a/tests/zones_test.cpp
+++ b/tests/zones_test.cpp
@@ -269,6 +269,29 @@
   CHECK(CountIn(s, 1, Step::kIn) == 20);
 }
 
+// SIGKILL at every moment of leaving and returning, with the folder and without: it never sends where all
+// others have left, and ends where they are.
+TEST_CASE("zones: one that is killed at any moment comes back to the stage of the others") {
+  for (int moment = 0; moment < 60; ++moment) {
+    CAPTURE(moment);
+    TierStage s(RulesFor(8), {}, 16);
+    Calls calls(s, 8, [&](int, int, int zone) {
+      return zone == 1 && s.now >= 105 && s.now < 110 ? Bad(Outcome::kReset) : Met{Outcome::kServed, 0.05};
+    });
+    s.StartAll();
+    const Seconds kill = 104.9 + 0.2 * moment;
+    calls.PlayTo(kill);
+    s.Kill(3, moment % 2 == 0);
+    calls.PlayTo(kill + 0.6);
+    s.Start(3);
+    s.PlayTo(s.now + 0.15);
+    CHECK(s[3].Joined(s.now));
+    if (CountIn(s, 1, Step::kOut) >= 7) CHECK(s.ShareOf(3, 1).share == 0);
+    calls.PlayTo(125);
+    CHECK(CountIn(s, 1, Step::kIn) == 8);
+  }
+}
+
 // What is no zone's failure. Whatever the draw, nobody leaves.
 TEST_CASE("zones: none is left over 1,000 scripts of what is no zone's failure") {
   for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
