--- a/src/zones/stages.h
+++ b/src/zones/stages.h
@@ -28,8 +28,8 @@
 };
 
 struct StageRules {
-  Seconds agreed_for = 0.1;    // a zone is being left once it has been agreed for so long
-  Seconds leaving = 0.4;       // and left once it has still been agreed after that
+  Seconds agreed_for = 0.15;   // a zone is being left once it has been agreed for so long
+  Seconds leaving = 0.5;       // and left once it has still been agreed after that
   Seconds undecided = 2;       // being left for longer, it is in again
   double leaving_share = 0.5;  // of the ordinary sends meanwhile
   Seconds least_out = 1;       // before a return; doubled with each relapse in a row ...
