--- a/src/zones/agreement.h
+++ b/src/zones/agreement.h
@@ -39,10 +39,9 @@
 class Agreement {
  public:
   struct Rules {
-    Seconds fresh = 1;      // a call that was served counts for so long from when it was sent ...
-    Seconds bad_for = 1.5;  // ... and one that was not from when that was known
-    double quorum =
-        0.25;  // of the tier's parts, and one more, must accuse where there are two and more ...
+    Seconds fresh = 1;          // a call that was served counts for so long from when it was sent ...
+    Seconds bad_for = 1.5;      // ... and one that was not from when that was known
+    double quorum = 0.25;       // of the tier's parts, and one more, must accuse ...
     int most_quorum = 20;       // ... though no more than this
     double against = 0.25;      // vouchers over accusers, from which on nothing is agreed
     double partners = 0.6;      // of the zone's partners that were seen must fail
