One look-up of a peer by its address, one test whether a sight accuses, dead accessors gone

Seen on reading the whole change: the loop that finds a peer's number by address stood twice in Relay::ListenToPeers, the test of an accusing sight twice in zones/member.cpp, and four accessors were called by nobody. Behaviour is the same.

--- a/lab/links.h
+++ b/lab/links.h
@@ -37,7 +37,6 @@
   bool DiscoveryCut(Seconds now, int relay) const;
   // When a datagram that is sent now arrives: never, once or twice.
   std::vector<Seconds> Arrivals(Seconds now, int from, int to);
-  const LinkPlan& plan() const { return plan_; }
 
  private:
   static bool Holds(const Cut& cut, Seconds now);
--- a/lab/tier_play.h
+++ b/lab/tier_play.h
@@ -45,7 +45,6 @@
   void Ended(int relay, const ListEntry& endpoint, Outcome outcome, Seconds duration);
   // The oracle's word, as of now.
   void TellTruth();
-  const zones::Member* member(int relay) const { return members_[static_cast<std::size_t>(relay)].get(); }
   const Links& links() const { return links_; }
   bool on() const { return s_.tier || s_.leave; }
 
--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -76,8 +76,7 @@
 
 bool Calls::MayLeave(const ServerFlow& flow, const ServerFlow::Member& member) {
   Transaction& t = transactions_.At(member.message);
-  // // A wait may have been told, or a drain, or a key's window may have ended, while it waited for its
-  // connection.
+  // A wait or a drain may have been told, or a key's window have ended, while it waited for its connection.
   if (t.over || member.until <= loop_.Now() || member.leave_by <= loop_.Now() ||
       !driver_.module().MayLeave(loop_.Now(), flow.endpoint())) {
     ++counters_.not_left;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -278,19 +278,22 @@
 
 // ---- peers -----------------------------------------------------------------------------------------
 
+std::optional<int> Relay::PeerAt(const sockaddr_in& address) const {
+  for (std::size_t i = 0; i < config_.peers.size(); ++i)
+    if (net::FormatAddress(config_.peers[i]) == net::FormatAddress(address)) return static_cast<int>(i);
+  return std::nullopt;
+}
+
 void Relay::ListenToPeers() {
   try {
     peers_ = std::make_unique<net::DatagramSocket>(
         loop_, *config_.peer_listen, config_.limits.datagram_bytes,
         [this](const sockaddr_in& from, std::string bytes) {
-          for (std::size_t i = 0; i < config_.peers.size(); ++i)
-            if (net::FormatAddress(config_.peers[i]) == net::FormatAddress(from))
-              return TakeNote(static_cast<int>(i), std::move(bytes));
+          if (const auto peer = PeerAt(from)) TakeNote(*peer, std::move(bytes));
         },
         [this](const sockaddr_in& to) {
-          for (std::size_t i = 0; tier_ && i < config_.peers.size(); ++i)
-            if (net::FormatAddress(config_.peers[i]) == net::FormatAddress(to))
-              return tier_->Refused(static_cast<int>(i));
+          const auto peer = tier_ ? PeerAt(to) : std::nullopt;
+          if (peer) tier_->Refused(*peer);
         });
   } catch (const std::system_error& error) {
     // The process that this one takes over from has it still, until it is told to end.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -97,6 +97,7 @@
   void CheckStopped();
   void End();
   void JoinTier();
+  std::optional<int> PeerAt(const sockaddr_in& address) const;  // its number among them
 
   net::EventLoop& loop_;
   const Config& config_;
--- a/src/zones/agreement.h
+++ b/src/zones/agreement.h
@@ -63,7 +63,6 @@
   bool Failing(Seconds now, int zone, double parts, Seconds control_since = -1e9) const;
   // The same relays say otherwise: at least a quarter as many as accuse it are served there.
   bool Contradicted(Seconds now, int zone) const;
-  std::size_t size() const { return reports_.size(); }
 
  private:
   View Of(Seconds now, int zone, Seconds fresh) const;  // vouchers of that long
--- a/src/zones/evidence.h
+++ b/src/zones/evidence.h
@@ -24,6 +24,7 @@
   Seconds bad_at = -1e9;            // the latest that was not, by when that was known
   Seconds good_since = -1e9;        // the first served one since the latest that was not; -1e9: none
   Wrong wrong{};                    // of the latest
+  bool Accuses() const { return bad != 0 && bad_at >= good_at; }
 };
 
 class Evidence {
--- a/src/zones/member.cpp
+++ b/src/zones/member.cpp
@@ -121,8 +121,7 @@
 bool Member::HasNews(Seconds now, int zone) const {
   const Zone& z = zones_[static_cast<std::size_t>(zone)];
   const Sight sight = evidence_.Of(now, zone);
-  const bool accuses = sight.bad != 0 && sight.bad_at >= sight.good_at;
-  if (accuses) return sight.bad_at > z.reported && stages_.Of(zone).step != Step::kOut;
+  if (sight.Accuses()) return sight.bad_at > z.reported && stages_.Of(zone).step != Step::kOut;
   return z.is_accused && sight.good != 0 && sight.good_at > std::max(z.accused, z.reported);
 }
 
@@ -133,8 +132,8 @@
     if (!HasNews(now, zone)) continue;
     const View view = agreement_.Of(now, zone);
     const Sight sight = evidence_.Of(now, zone);
-    const bool accuses = sight.bad != 0 && sight.bad_at >= sight.good_at;
-    if (accuses ? view.accusers < 3 * quorum : view.vouchers <= rules_.agreement.against * 2 * view.accusers)
+    if (sight.Accuses() ? view.accusers < 3 * quorum
+                        : view.vouchers <= rules_.agreement.against * 2 * view.accusers)
       return false;
   }
   return true;
--- a/src/zones/member.h
+++ b/src/zones/member.h
@@ -73,7 +73,6 @@
   View ViewOf(Seconds now, int zone) const { return agreement_.Of(now, zone); }
   Order OrderFor(Seconds now, int zone) const { return stages_.OrderFor(now, zone); }
   int zones() const { return rules_.zones; }
-  std::size_t reports() const { return agreement_.size(); }
   std::vector<Stage> Keep(Seconds now) const;  // for the next process, with ages
 
   static constexpr Seconds kTick = 0.05;
