A zone that returns opens its lanes one by one, and partners at their limits are no failing zone

Kept connections are served on meanwhile, so scouts are served, the zone returns at 14 s and every relay started all its lanes slowly then (On(ZoneShare), src/rules.cpp); the lanes came back at 16 s, cold, to ramps half done. Ruled out: shares of the tier (with `leave` off no breach), the auditor.

Change: at a return a lane is in doubt until a call was served there, by whomever (notes of lanes tell it); its trials keep to the budget of all. Where calls are turned away a zone fails only if nobody is served there. IsLeft takes any zone that is left less.

The new tests were seen failing before.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -188,17 +188,17 @@
     for (auto& [id, e] : endpoints_) {
       if (e.zone == told.zone && told.scout) Open(e, false);  // it is tried, and no more
       if (e.zone != told.zone || before > 0 || told.share <= 0 || !IsApart(e)) continue;
-      e.lane->cold = true;  // Danger: nobody has called it since, and all come back at this moment
-      StartSlowly(*e.lane);
-      if (e.circuit == Circuit::kOpen) e.circuit = Circuit::kHalfOpen;
+      e.lane->cold = true;
+      e.lane->ramp_from = kNever;  // Danger: a zone returns on a few words; each lane on a call served there
     }
   }
-  // Never the last zone of a destination: only where another has an endpoint that serves, as far as is known.
+  // Never the last zone of a destination: only where one that is left less has an endpoint that seems to
+  // serve.
   bool IsLeft(const Destination& d, const Endpoint& e) {
     const ZoneShare order = zones_[e.zone];
     if (order.scout || order.share >= 1 || (order.share > 0 && random_.Unit() < order.share)) return false;
-    return std::any_of(d.endpoints.begin(), d.endpoints.end(), [this](const Endpoint* o) {
-      return o->listing == Listing::kInService && !IsTrial(*o) && zones_[o->zone].share >= 1;
+    return std::any_of(d.endpoints.begin(), d.endpoints.end(), [&](const Endpoint* o) {
+      return o->listing == Listing::kInService && !IsTrial(*o) && zones_[o->zone].share > order.share;
     });
   }
 
--- a/src/zones/agreement.cpp
+++ b/src/zones/agreement.cpp
@@ -69,6 +69,8 @@
   if (v.bad_partners < rules_.least_partners || v.words < rules_.least_words) return false;
   if (v.bad_partners < rules_.partners * v.partners) return false;
   if (v.wrong == Wrong::kSlow) return false;  // it serves; told, not left
+  // Danger: above their limits most of a zone's partners may turn all away for a while. A zone spares nobody.
+  if (v.wrong == Wrong::kTurnedAway && v.good_partners > 0) return false;
   for (int other = 0; other < zones_; ++other) {
     if (other == zone) continue;
     const View control = Of(now, other, std::min(rules_.control_for, now - control_since));
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -543,5 +543,31 @@
   CHECK(in >= 30);
 }
 
+// Connections that are kept are served on while new ones are refused, so a zone returns before its lanes do.
+TEST_CASE(
+    "lab: a zone that returns too soon fells no lane, and limits that all reach are no zone's failure") {
+  const nlohmann::json file = {
+      {"relays", 30},
+      {"lasts_s", 26},
+      {"zones", 3},
+      {"notes", true},
+      {"tier", true},
+      {"leave", true},
+      {"links", {{"loss", 0.2}}},
+      {"load", {{"rate", 150}}},
+      {"partners", {{"count", 12}, {"endpoints", {3, 4}}, {"apart", 1}, {"connections", {6, 10}}}},
+      {"settings", {{"ramp_s", 5}}},
+      {"troubles", {{{"kind", "refuse"}, {"share", 1}, {"zone", 1}, {"from_s", 8}, {"lasts_s", 8}}}}};
+  int elsewhere = 0;
+  for (const std::uint64_t seed : {6, 10, 17, 19, 24}) {
+    CAPTURE(seed);
+    const RunResult r = Simulation(ReadScenario(file), seed).Run();
+    CHECK(r.breaches.empty());
+    CHECK(r.collapses == 0);
+    for (const StageChange& c : r.stage_changes) elsewhere += c.zone != 1 && !c.heard && c.step == "leaving";
+  }
+  CHECK(elsewhere == 0);
+}
+
 }  // namespace
 }  // namespace opalroute::lab
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -796,6 +796,16 @@
   EXPECT_LT(there, 90);
 }
 
+// While another zone is in question, the one that has been left is not a way out.
+TEST_F(RulesTest, AZoneThatIsOutGetsNoCallWhileAnotherIsBeingLeft) {
+  List({Entry(1, 1, 0, 1), Entry(2, 1, 1, 1)});
+  Play(ZoneShare{1, 0, false});
+  Play(ZoneShare{0, 0.5, false});
+  ServeSafely(1, 100);
+  EXPECT_EQ(All<Send>().size(), 100U);
+  for (const Send& send : All<Send>()) EXPECT_EQ(send.endpoint, 1U);
+}
+
 TEST_F(RulesTest, AScoutTriesALeftZoneNowAndThenAndNoOtherDoes) {
   for (const bool scout : {false, true}) {
     Settings s = TestSettings();
@@ -838,5 +848,34 @@
   EXPECT_GE(All<Send>().size(), 1U);
 }
 
+// A zone returns on a few words; of its lanes each waits for a call that was served there, by whomever.
+TEST_F(RulesTest, AZoneThatAllReturnToIsTriedLaneByLane) {
+  Settings s = TestSettings();
+  s.couriers = 30;
+  s.may_tell_peers = true;
+  s.rating = RatingMeaning::kExact;
+  Start(s);
+  ListEntry first = Entry(1, 1, 1, 1, Listing::kInService, 60),
+            second = Entry(2, 2, 1, 1, Listing::kInService, 60);
+  first.tag = 11;
+  second.tag = 12;
+  List({first, second});
+  Play(ZoneShare{1, 0, false});
+  Play(ZoneShare{1, 0.2, false});
+  Play(PeerNote{2, WriteLaneNote({LaneNote::Kind::kBack, 1, 11})});
+  std::optional<DestinationId> from = 1;
+  const auto beliefs = courier_->Beliefs(now_, from, 10);
+  ASSERT_EQ(beliefs.size(), 2U);
+  EXPECT_TRUE(beliefs[0].back);  // it starts slowly
+  EXPECT_FALSE(beliefs[1].back);
+  for (MessageId id = 1; id <= 20; ++id) Take(id, kUnsafeClass, 2);
+  RunTo(now_ + 10);
+  ASSERT_FALSE(All<Send>().empty());  // a trial
+  EXPECT_LE(All<Send>().size(), 4U);
+  Tell(All<Send>().front().message, 0, 2, Outcome::kServed);
+  from = 2;
+  EXPECT_TRUE(courier_->Beliefs(now_, from, 10)[0].back);
+}
+
 }  // namespace
 }  // namespace opalroute
