--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -290,6 +290,17 @@
     const int last = std::max(f.relay, f.through);
     for (; f.relay <= last; ++f.relay) s.relay_faults.push_back(f);
   });
+  root.Each("zone_orders", [&](Reader& r) {
+    HandGiven order;
+    r.Word<zones::ByHand>(
+        "order", order.what,
+        {{"leave", zones::ByHand::kLeave}, {"keep", zones::ByHand::kKeep}, {"none", zones::ByHand::kNone}});
+    r.Whole("zone", order.zone, 0, static_cast<int>(s.zones.size()) - 1);
+    r.Whole("relay", order.relay, 0, s.relays - 1);
+    r.Number("at_s", order.at, 0, kDay);
+    r.Number("lasts_s", order.lasts, 0, zones::Orders::kMostLasts);
+    s.zone_orders.push_back(order);
+  });
 }
 
 void ReadLinks(Reader& root, Scenario& s) {
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -11,6 +11,7 @@
 #include "lab/lane_model.h"
 #include "lab/links.h"
 #include "opalroute/rules.h"
+#include "zones/orders.h"
 
 namespace opalroute::lab {
 
@@ -50,6 +51,12 @@
   bool forgets = false;  // what it kept of tier and zones is gone
 };
 
+struct HandGiven {  // an operator's order of a zone, to one relay
+  int relay = 0, zone = 0;
+  zones::ByHand what{};
+  Seconds at = 0, lasts = 0;
+};
+
 struct ClassPlan {
   std::string name;
   MessageClass rules;
@@ -111,6 +118,7 @@
   std::vector<Trouble> troubles;
   std::vector<PoolChange> pool_changes;
   std::vector<RelayFault> relay_faults;
+  std::vector<HandGiven> zone_orders;
 };
 
 // When a run of it ends at the latest: its arrivals, the longest deadline, and some seconds for what is late.
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -98,6 +98,7 @@
   }
   for (std::size_t i = 0; i < s_.pool_changes.size(); ++i) At(s_.pool_changes[i].at, {Kind::kChange, 0, i});
   for (std::size_t i = 0; i < s_.relay_faults.size(); ++i) At(s_.relay_faults[i].at, {Kind::kFault, 0, i});
+  for (std::size_t i = 0; i < s_.zone_orders.size(); ++i) At(s_.zone_orders[i].at, {Kind::kOrder, 0, i});
   if (s_.oracle) At(0, {Kind::kTruth});
   const Micros ends = ToMicros(EndOf(s_));
   Micros told = 0;
@@ -155,6 +156,8 @@
       return Publish(static_cast<EndpointId>(event.a), Listing::kGone);
     case Kind::kFault:
       return Strike(s_.relay_faults[event.a], event.b != 0);
+    case Kind::kOrder:
+      return tier_.Order(s_.zone_orders[event.a]);
     case Kind::kTick:
     case Kind::kNote:
     case Kind::kRefusal:
--- a/lab/simulation.h
+++ b/lab/simulation.h
@@ -44,7 +44,8 @@
     kTick,     // of a relay as a member of its tier
     kNote,     // a datagram reaches a relay, a: its number
     kRefusal,  // of a datagram by the machine of another relay, a: that relay
-    kTruth     // the oracle speaks
+    kTruth,    // the oracle speaks
+    kOrder     // an operator's, of a zone, a: of the scenario
   };
   struct Payload {
     Kind kind{};
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 const net::HttpBounds kBounds{16 * 1024, 64, 1 << 20};
+constexpr net::Seconds kLookEvery = 0.02;  // at which a cut may have begun or ended
 
 void Reset(int fd) {
   const linger at_once{1, 0};
@@ -138,6 +139,7 @@
   void Take() {
     phase_ = Phase::kWorks;
     const Seconds now = all_.now();
+    if (IsCut()) return GoSilent();
     if (crowded_) {
       for (const Member& member : std::exchange(awaited_, {}))
         if (member.attempt != Ledger::kVoid)
@@ -159,8 +161,15 @@
     After(verdict.takes + all_.WayOf(endpoint_, relay_), [this, verdict] { Answer(verdict); });
   }
 
+  bool IsCut() const { return all_.IsCut(endpoint_, relay_); }
+  // What is open stays open, and nothing comes through it any more: its relay gives it up.
+  void GoSilent() {
+    if (left_) all_.sessions_.Drop(*this);
+  }
+
   void Answer(const LaneModel::Verdict& verdict) {
     const Seconds now = all_.now();
+    if (IsCut()) return GoSilent();
     if (verdict.fate != LaneModel::Fate::kServed && Lane().OutAt(now))
       all_.auditor_.SawOutage(relay_, Machine());
     if (verdict.fate == LaneModel::Fate::kReset) return End(Outcome::kReset);
@@ -220,6 +229,7 @@
       auditor_(auditor),
       ledger_(ledger),
       tally_(tally),
+      links_(world.scenario().links, seed),
       start_(loop.Now()),
       sessions_(loop) {
   pcg32 random(seed, 3);
@@ -233,11 +243,11 @@
   }
   for (EndpointId id = 1; id <= world.endpoint_count(); ++id) {
     const auto& outages = world.lane(world.endpoint(id).machine).outages();
-    if (std::none_of(outages.begin(), outages.end(), [](const LaneOutage& outage) {
-          return outage.kind == TroubleKind::kRefuse || outage.kind == TroubleKind::kVanish;
-        }))
-      continue;
+    const bool closes = std::any_of(outages.begin(), outages.end(), [](const LaneOutage& outage) {
+      return outage.kind == TroubleKind::kRefuse || outage.kind == TroubleKind::kVanish;
+    });
     for (int relay = 0; relay < s.relays; ++relay) {
+      if (!closes && !MeetsCut(id, relay)) continue;
       Door& door = doors_[{id, relay}];
       door.endpoint = id;
       door.relay = relay;
@@ -258,11 +268,33 @@
 
 void Endpoints::Tend(Door& door) {
   const int relay = door.relay;
-  if (door.refuses || door.hole != nullptr)
+  const bool silent = door.vanished || IsCut(door.endpoint, door.relay);
+  if (!silent) door.hole.reset();  // before anybody listens there again
+  if (door.refuses || silent)
     door.listener.reset();
   else if (door.listener == nullptr)
     door.listener =
         std::make_unique<net::Listener>(loop_, door.address, [this, relay](int fd) { Accept(fd, relay); });
+  if (silent && door.hole == nullptr) door.hole = std::make_unique<BlackHole>(door.address);
+}
+
+bool Endpoints::IsCut(EndpointId endpoint, int relay) const {
+  return begun_ && loop_.Now() >= start_ && links_.EndpointsCut(now(), relay, world_.endpoint(endpoint).zone);
+}
+
+bool Endpoints::MeetsCut(EndpointId endpoint, int relay) const {
+  const auto& cuts = world_.scenario().links.cuts;
+  return std::any_of(cuts.begin(), cuts.end(), [&](const Cut& cut) {
+    return cut.what == Cut::What::kEndpoints && relay >= cut.first && relay <= cut.last &&
+           (cut.zone < 0 || cut.zone == world_.endpoint(endpoint).zone);
+  });
+}
+
+// Cuts may begin, flap and end at any time.
+void Endpoints::LookForCuts() {
+  for (auto& [key, door] : doors_)
+    if (MeetsCut(key.first, key.second)) Tend(door);
+  loop_.At(loop_.Now() + kLookEvery, [this] { LookForCuts(); });
 }
 
 void Endpoints::Left(EndpointId endpoint) {
@@ -272,22 +304,20 @@
 
 void Endpoints::Begin(net::Seconds start) {
   start_ = start;
+  begun_ = true;
   for (auto& [key, value] : doors_) {
     Door& door = value;
     for (const LaneOutage& outage : world_.lane(world_.endpoint(door.endpoint).machine).outages()) {
       if (outage.kind != TroubleKind::kRefuse && outage.kind != TroubleKind::kVanish) continue;
-      loop_.At(start + outage.from, [this, &door, kind = outage.kind] {
-        door.refuses = true;
-        Tend(door);
-        if (kind == TroubleKind::kVanish) door.hole = std::make_unique<BlackHole>(door.address);
-      });
-      loop_.At(start + outage.to, [this, &door] {
-        door.refuses = false;
-        door.hole.reset();
-        Tend(door);
-      });
+      bool& state = outage.kind == TroubleKind::kVanish ? door.vanished : door.refuses;
+      for (const bool holds : {true, false})
+        loop_.At(start + (holds ? outage.from : outage.to), [this, &door, &state, holds] {
+          state = holds;
+          Tend(door);
+        });
     }
   }
+  LookForCuts();
 }
 
 std::string Endpoints::AddressOf(EndpointId endpoint, int relay) const {
--- a/lab/sockets/endpoints.h
+++ b/lab/sockets/endpoints.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "lab/auditor.h"
+#include "lab/links.h"
 #include "lab/sessions.h"
 #include "lab/sockets/ledger.h"
 #include "lab/sockets/loopback.h"
@@ -34,20 +35,23 @@
 
  private:
   class Session;
-  // An endpoint that refuses connections at times, or is cut off, has a listener of its own for each relay,
-  // which is closed meanwhile.
+  // An endpoint that refuses connections at times, or is cut off, has a listener of its own for each relay
+  // that meets it, which is closed meanwhile.
   struct Door {
     EndpointId endpoint = 0;
     int relay = 0;
     sockaddr_in address{};
     std::unique_ptr<net::Listener> listener;
     std::unique_ptr<BlackHole> hole;
-    bool refuses = false;
+    bool refuses = false, vanished = false;
   };
   Seconds now() const { return std::max(0.0, loop_.Now() - start_); }
   Seconds WayOf(EndpointId endpoint, int relay) const;
   void Accept(int fd, int relay);
   void Tend(Door& door);  // open or closed, as it should be now
+  bool IsCut(EndpointId endpoint, int relay) const;
+  bool MeetsCut(EndpointId endpoint, int relay) const;  // at some time
+  void LookForCuts();
   bool Crowded(EndpointId endpoint) const;
   void Left(EndpointId endpoint);  // a connection has ended
 
@@ -56,7 +60,9 @@
   Auditor& auditor_;
   Ledger& ledger_;
   Tally& tally_;
+  const Links links_;
   net::Seconds start_;
+  bool begun_ = false;
   std::vector<std::vector<Seconds>> one_way_;  // by relay and zone
   std::vector<std::unique_ptr<net::Listener>> listeners_;
   std::map<std::pair<EndpointId, int>, Door> doors_;
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -72,6 +72,7 @@
       plan.arguments = options.relay_arguments;
       if (s_.tier) plan.arguments.emplace_back("--tier-shares");
       if (s_.leave) plan.arguments.emplace_back("--tier-zones");
+      plan.has_pages = !s_.zone_orders.empty();
       plan.folder = options.folder + "/relay" + std::to_string(i);
       std::filesystem::remove_all(plan.folder);
       plan.config = [this, i](const std::string& listen) { return ConfigOf(i, listen); };
@@ -84,11 +85,13 @@
     BringUp();
     start_ = loop_.Now() + 0.05;
     endpoints_.Begin(start_);
+    registry_.Begin(start_);
     front_.Begin(start_);
     for (const PoolChange& change : s_.pool_changes)
       loop_.At(start_ + change.at, [this, change] { ChangeList(change); });
     for (const RelayFault& fault : s_.relay_faults)
       loop_.At(start_ + fault.at, [this, fault] { Strike(fault); });
+    for (const HandGiven& order : s_.zone_orders) loop_.At(start_ + order.at, [this, order] { Give(order); });
     Beat(loop_.Now());
     Second(0);
     const Seconds ends = start_ + EndOf(s_);
@@ -200,6 +203,13 @@
     loop_.At(loop_.Now() + comes, [this, number] { StartRelay(number); });
   }
 
+  void Give(const HandGiven& order) {
+    nlohmann::json body = {{"zone", s_.zones[static_cast<std::size_t>(order.zone)]},
+                           {"order", zones::NameOf(order.what)}};
+    if (order.what != zones::ByHand::kNone) body["for_s"] = order.lasts;
+    Of(order.relay).Order("/zones", body.dump());
+  }
+
   void ChangeList(const PoolChange& change) {
     const auto changes = world_.Change(
         change, [this](EndpointId id) { return registry_.ListingOf(id); },
@@ -320,10 +330,6 @@
     throw config::FieldError(
         "'load.order_keys' can be played in simulated time only: the platform's protocol has no header for "
         "it");
-  for (const Cut& cut : scenario.links.cuts)
-    if (cut.what != Cut::What::kPeers)
-      throw config::FieldError(
-          "'links.cuts' of endpoints and discovery can be played in simulated time only");
   std::filesystem::create_directories(options.folder);
   return SocketPlay(scenario, seed, options).Play();
 }
--- a/lab/sockets/registry.cpp
+++ b/lab/sockets/registry.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kMostOut = 32 << 20;  // 20,000 endpoints have 4 MB of list
 constexpr net::Seconds kBeat = 2;           // an empty line in a silent watch
+constexpr net::Seconds kLookEvery = 0.1;    // whether a cut is over
 const net::HttpBounds kBounds{16 * 1024, 64, 1 << 20};
 
 const char* NameOf(Listing listing) {
@@ -35,7 +36,7 @@
  public:
   Session(Registry& registry, int relay)
       : registry_(registry), relay_(relay), parser_(net::HttpParser::Kind::kRequest, kBounds) {}
-  ~Session() override { registry_.loop_.Cancel(beat_); }
+  ~Session() override { StopTimers(); }
 
   bool Open(int fd) {
     connection_ = net::Connection::Adopt(registry_.loop_, fd, *this, 128 * 1024, kMostOut);
@@ -44,7 +45,7 @@
   int relay() const { return relay_; }
   bool watches() const { return watches_; }
   void Shut() {
-    registry_.loop_.Cancel(beat_);
+    StopTimers();
     connection_->Close();
   }
   // A line of the watch: the changes after `since`.
@@ -69,7 +70,12 @@
   void OnEnd(net::Connection&, net::Connection::End) override { registry_.sessions_.Drop(*this); }
 
  private:
+  // In a cut nothing comes through; what was sent arrives once it is over.
   void Answer(const net::HttpMessage& request) {
+    if (registry_.IsCut(relay_)) {
+      waiting_.push_back(request);
+      return LookAgain();
+    }
     if (request.method == "POST" && request.target == "/v1/notices") return TakeNotices(request.body);
     const std::string path = "/registry/instances";
     if (request.method != "GET" || request.target.rfind(path, 0) != 0) return Write(404, {});
@@ -107,21 +113,34 @@
     Write(204, {});
   }
   void Write(int status, const std::string& body) { connection_->Write(net::WriteAnswer(status, {}, body)); }
+  void LookAgain() {
+    registry_.loop_.Cancel(look_);
+    look_ = registry_.loop_.At(registry_.loop_.Now() + kLookEvery, [this] {
+      look_ = 0;
+      for (const net::HttpMessage& request : std::exchange(waiting_, {})) Answer(request);
+    });
+  }
   void Beat() {
     registry_.loop_.Cancel(beat_);
     beat_ = registry_.loop_.At(registry_.loop_.Now() + kBeat, [this] {
       beat_ = 0;
-      connection_->Write(Chunk("\n"));
+      if (!registry_.IsCut(relay_)) connection_->Write(Chunk("\n"));
       Beat();
     });
   }
 
+  void StopTimers() {
+    registry_.loop_.Cancel(beat_);
+    registry_.loop_.Cancel(look_);
+  }
+
   Registry& registry_;
   const int relay_;
   std::unique_ptr<net::Connection> connection_;
   net::HttpParser parser_;
   bool watches_ = false;
-  net::EventLoop::TimerId beat_ = 0;
+  std::vector<net::HttpMessage> waiting_;  // for the end of a cut
+  net::EventLoop::TimerId beat_ = 0, look_ = 0;
 };
 
 Registry::Registry(net::EventLoop& loop, const World& world, std::uint64_t seed,
@@ -131,6 +150,7 @@
       random_(seed, 4),
       address_of_(std::move(address_of)),
       owner_(owner),
+      links_(world.scenario().links, seed),
       listings_(world.endpoint_count(), Listing::kInService),
       sessions_(loop) {
   for (int relay = 0; relay < world.scenario().relays; ++relay) {
@@ -143,6 +163,10 @@
 
 Registry::~Registry() = default;
 
+bool Registry::IsCut(int relay) const {
+  return start_ > 0 && links_.DiscoveryCut(loop_.Now() - start_, relay);
+}
+
 std::string Registry::Row(EndpointId id, Listing listing, int relay) const {
   const PartnerEndpoint& e = world_.endpoint(id);
   const nlohmann::json row = {{"instanceId", "e" + std::to_string(id)},
@@ -192,6 +216,10 @@
   View& view = views_[static_cast<std::size_t>(relay)];
   const std::size_t since = view.known;
   if (change <= since) return;
+  if (IsCut(relay)) {  // it hears what it has missed once it hears again
+    loop_.At(loop_.Now() + kLookEvery, [this, relay, change] { Advance(relay, change); });
+    return;
+  }
   view.known = change;
   for (std::size_t i = since; i < change; ++i) {
     if (changes_[i].endpoint > view.listings.size())
--- a/lab/sockets/registry.h
+++ b/lab/sockets/registry.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/links.h"
 #include "lab/sessions.h"
 #include "lab/world.h"
 #include "net/listener.h"
@@ -27,6 +28,8 @@
   // `address_of`: where that relay finds an endpoint, as "1.2.3.4:80".
   Registry(net::EventLoop& loop, const World& world, std::uint64_t seed,
            std::function<std::string(EndpointId, int relay)> address_of, Owner& owner);
+  // The run's times, by which cuts hold, count from here.
+  void Begin(net::Seconds start) { start_ = start; }
   ~Registry();
 
   sockaddr_in address(int relay) const { return listeners_[static_cast<std::size_t>(relay)]->address(); }
@@ -48,6 +51,7 @@
     std::vector<Listing> listings;
   };
   void Advance(int relay, std::size_t change);
+  bool IsCut(int relay) const;
   std::string Row(EndpointId endpoint, Listing listing, int relay) const;
   std::string ChangesSince(int relay, std::size_t since) const;
 
@@ -56,6 +60,8 @@
   pcg32 random_;
   const std::function<std::string(EndpointId, int)> address_of_;
   Owner& owner_;
+  const Links links_;
+  net::Seconds start_ = 0;         // 0: it has not begun
   std::vector<Listing> listings_;  // by endpoint
   std::vector<Change> changes_;    // generation: their number, plus one
   std::vector<View> views_;        // by relay
--- a/lab/sockets/relay_process.cpp
+++ b/lab/sockets/relay_process.cpp
@@ -54,6 +54,18 @@
   RelayProcess& relay_;
 };
 
+class RelayProcess::Posted : public net::HttpClient::Call {
+ public:
+  Posted(RelayProcess& relay, std::string request) : relay_(relay), request_(std::move(request)) {}
+
+ private:
+  std::string OnReady() override { return request_; }
+  void OnAnswer(net::HttpMessage&) override { relay_.loop_.Retire(std::move(relay_.posted_)); }
+  void OnBroken(net::HttpClient::Broken, int) override { relay_.loop_.Retire(std::move(relay_.posted_)); }
+  RelayProcess& relay_;
+  const std::string request_;
+};
+
 RelayProcess::RelayProcess(net::EventLoop& loop, int number, Plan plan, Owner& owner)
     : loop_(loop), number_(number), plan_(std::move(plan)), owner_(owner), client_(loop, Bounds()) {
   std::filesystem::create_directories(plan_.folder + "/state");
@@ -61,6 +73,7 @@
 
 RelayProcess::~RelayProcess() {
   if (check_) client_.Abandon(*check_);
+  if (posted_) client_.Abandon(*posted_);
 }
 
 void RelayProcess::WriteConfig() {
@@ -79,8 +92,13 @@
   ready_ = stopping_ = frozen_ = false;
   launched_ = loop_.Now();
   WriteConfig();
+  std::vector<std::string> arguments = plan_.arguments;
+  if (plan_.has_pages) {
+    pages_ = FreeAddress();
+    arguments.insert(arguments.end(), {"--admin-listen", net::FormatAddress(pages_)});
+  }
   process_ = std::make_unique<Process>(
-      plan_.program, plan_.arguments,
+      plan_.program, arguments,
       std::map<std::string, std::string>{{"EDGE_CONFIG", plan_.folder + "/config.json"},
                                          {"EDGE_STATE", plan_.folder + "/state"}},
       plan_.folder + "/log");
@@ -142,6 +160,12 @@
   process_->Signal(SIGHUP);
 }
 
+void RelayProcess::Order(const std::string& path, std::string body) {
+  if (!process_ || posted_) return;
+  posted_ = std::make_unique<Posted>(*this, net::WriteRequest("POST", path, {{"Host", "lab"}}, body));
+  client_.Start({pages_, 0}, *posted_);
+}
+
 std::optional<ProcessSample> RelayProcess::Sample() const {
   if (!process_) return std::nullopt;
   return process_->Sample();
--- a/lab/sockets/relay_process.h
+++ b/lab/sockets/relay_process.h
@@ -32,6 +32,7 @@
   struct Plan {
     std::string program;                 // of the relay
     std::vector<std::string> arguments;  // after its name
+    bool has_pages = false;              // it gets an address for operators' questions
     std::string folder;                  // of its own: config.json, state/, log
     std::function<nlohmann::json(const std::string& listen)> config;
   };
@@ -45,6 +46,7 @@
   void Freeze();     // SIGSTOP
   void Thaw();       // SIGCONT
   void Reload();     // a new file, and SIGHUP
+  void Order(const std::string& path, std::string body);  // an operator's POST; needs Plan::has_pages
 
   bool running() const { return process_ != nullptr; }
   bool ready() const { return ready_; }
@@ -54,6 +56,7 @@
 
  private:
   class Check;
+  class Posted;
   void WriteConfig();
   void Launch();
   void Ask();
@@ -63,9 +66,10 @@
   const Plan plan_;
   Owner& owner_;
   net::HttpClient client_;
-  sockaddr_in address_{};
+  sockaddr_in address_{}, pages_{};
   std::unique_ptr<Process> process_;
   std::unique_ptr<Check> check_;
+  std::unique_ptr<Posted> posted_;  // the latest order, until it is answered
   bool ready_ = false, stopping_ = false, frozen_ = false;
   int tries_ = 0;
   net::Seconds launched_ = 0, stopped_ = 0;
--- a/lab/tier_play.cpp
+++ b/lab/tier_play.cpp
@@ -41,7 +41,7 @@
 void TierPlay::Stop(int relay, bool forgets) {
   const auto i = static_cast<std::size_t>(relay);
   if (!members_[i]) return;
-  kept_[i] = forgets ? std::vector<zones::Stage>() : members_[i]->Keep(host_.TierNow());
+  kept_[i] = forgets ? zones::Member::Kept() : members_[i]->Keep(host_.TierNow());
   members_[i].reset();
   auditor_.LostParts(host_.TierNow(), relay);
 }
@@ -59,6 +59,14 @@
   Do(relay, what);
 }
 
+void TierPlay::Order(const HandGiven& order) {
+  const auto& member = members_[static_cast<std::size_t>(order.relay)];
+  zones::Member::Do what;
+  if (!member) return;
+  member->Order(host_.TierNow(), order.zone, order.what, order.lasts, what);
+  Do(order.relay, what);
+}
+
 bool TierPlay::Joined(int relay) const {
   const auto& member = members_[static_cast<std::size_t>(relay)];
   return !member || member->Joined(host_.TierNow());
--- a/lab/tier_play.h
+++ b/lab/tier_play.h
@@ -36,6 +36,7 @@
   void Stop(int relay, bool forgets);  // the process has ended, with its folder kept or not
   void Leave(int relay);               // it is about to
   void Tick(int relay);
+  void Order(const HandGiven& order);  // an operator's, to one relay
   bool Joined(int relay) const;
   // To one, or with none to all others.
   void Tell(int from, std::optional<int> to, const std::string& bytes);
@@ -64,7 +65,7 @@
   Links links_;
   std::uint64_t last_life_ = 0, last_note_ = 0;
   std::vector<std::unique_ptr<zones::Member>> members_;
-  std::vector<std::vector<zones::Stage>> kept_;  // by relay, in its folder
+  std::vector<zones::Member::Kept> kept_;  // by relay, in its folder
   std::unordered_map<std::uint64_t, Flying> flying_;
   std::vector<double> truth_;  // by zone, as told
 };
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "cli/zones.h"
 #include "config/config.h"
 #include "config/operator.h"
 
@@ -17,7 +18,7 @@
   std::vector<std::string> faults;  // of the operators' settings, one a line
   std::string snapshot_of;          // an address or a state folder
   std::string pool_of;              // an address, or nothing
-  std::string zones_of;             // an address
+  ZoneCommand zones;
   bool as_json = false;
 };
 
--- a/src/cli/page.cpp
+++ b/src/cli/page.cpp
@@ -16,13 +16,15 @@
 // One question to a relay's --admin-listen.
 class Fetch : public net::HttpClient::Call {
  public:
-  Fetch(const sockaddr_in& from, std::string path) : path_(std::move(path)), client_(loop_, Bounds()) {
+  Fetch(const sockaddr_in& from, std::string path, std::string body = "")
+      : path_(std::move(path)), body_(std::move(body)), client_(loop_, Bounds()) {
     timer_ = loop_.At(loop_.Now() + kTime, [this] { loop_.Stop(); });
     client_.Start({from}, *this);
     loop_.Run();
     if (!settled_) client_.Abandon(*this);
   }
-  ordered_json page;
+  int status = 0;  // 0: no answer came
+  std::string text;
 
  private:
   static net::ClientBounds Bounds() {
@@ -34,9 +36,12 @@
     bounds.connect_time = bounds.idle_time = bounds.answer_time = bounds.rest_time = kTime;
     return bounds;
   }
-  std::string OnReady() override { return net::WriteRequest("GET", path_, {{"Host", "admin"}}, ""); }
+  std::string OnReady() override {
+    return net::WriteRequest(body_.empty() ? "GET" : "POST", path_, {{"Host", "admin"}}, body_);
+  }
   void OnAnswer(net::HttpMessage& answer) override {
-    if (answer.status == 200) page = ordered_json::parse(answer.body, nullptr, false);
+    status = answer.status;
+    text = std::move(answer.body);
     settled_ = true;
     loop_.Stop();
   }
@@ -45,7 +50,7 @@
     loop_.Stop();
   }
 
-  const std::string path_;
+  const std::string path_, body_;
   const net::SystemClock clock_;
   net::EventLoop loop_{clock_};
   net::HttpClient client_;
@@ -55,6 +60,14 @@
 
 }  // namespace
 
-ordered_json FetchPage(const sockaddr_in& from, const std::string& path) { return Fetch(from, path).page; }
+ordered_json FetchPage(const sockaddr_in& from, const std::string& path) {
+  const Fetch fetch(from, path);
+  return fetch.status == 200 ? ordered_json::parse(fetch.text, nullptr, false) : ordered_json();
+}
+
+PostAnswer PostPage(const sockaddr_in& to, const std::string& path, const std::string& body) {
+  Fetch fetch(to, path, body);
+  return {fetch.status, std::move(fetch.text)};
+}
 
 }  // namespace opalroute::cli
--- a/src/cli/zones.cpp
+++ b/src/cli/zones.cpp
@@ -28,17 +28,36 @@
                 z.at("share").get<double>(), z.at("scout").get<bool>() ? "yes" : "no",
                 z.at("accusers").get<long>(), z.at("vouchers").get<long>(), failing.c_str(),
                 z.at("why").get<std::string>().c_str());
+    if (z.at("order").get<std::string>() != "none")
+      std::printf("%-12s by hand: %s for another %.0f s, told to relay %ld\n", "",
+                  z.at("order").get<std::string>().c_str(), z.at("order_left_s").get<double>(),
+                  z.at("order_told_to").get<long>());
   }
 }
 
+// Gives an order of a zone; the exit status.
+int GiveOrder(const sockaddr_in& to, const ZoneCommand& command) {
+  nlohmann::json body = {{"zone", command.zone}, {"order", command.order}};
+  if (command.lasts > 0) body["for_s"] = command.lasts;
+  const PostAnswer answer = PostPage(to, "/zones", body.dump());
+  if (answer.status == 200) return 0;
+  std::cerr << (answer.status == 0 ? "no relay answered (see --admin-listen)\n" : answer.text);
+  return 1;
+}
+
 }  // namespace
 
-int Zones(const std::string& from, bool as_json) {
+int Zones(const ZoneCommand& command, bool as_json) {
+  const std::string& from = command.from;
   const auto address = net::ParseAddress(from);
   if (!address) {
     std::cerr << "'" << from << "' is no address like 127.0.0.1:80\n";
     return 2;
   }
+  if (!command.order.empty()) {
+    const int status = GiveOrder(*address, command);
+    if (status != 0) return status;
+  }
   const nlohmann::ordered_json page = FetchPage(*address, "/zones");
   if (!page.is_object()) {
     std::cerr << "no relay told its zones at " << from << " (see --admin-listen, --tier-zones)\n";
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -92,7 +92,7 @@
     return opalroute::cli::Snapshot(order.snapshot_of, order.as_json);
   if (order.command == opalroute::cli::Command::kCheck) return opalroute::cli::Check(order, Variable);
   if (order.command == opalroute::cli::Command::kZones)
-    return opalroute::cli::Zones(order.zones_of, order.as_json);
+    return opalroute::cli::Zones(order.zones, order.as_json);
   for (const std::string& fault : order.faults) std::cerr << fault << '\n';
   if (!order.faults.empty()) return 2;
   if (order.command == opalroute::cli::Command::kPool)
--- a/src/relay/admin.cpp
+++ b/src/relay/admin.cpp
@@ -21,11 +21,15 @@
 
 }  // namespace
 
-Admin::Admin(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages)
-    : pages_(std::move(pages)), http_(loop, listen, BoundsOf(limits), *this) {}
+Admin::Admin(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages,
+             Orders orders)
+    : pages_(std::move(pages)), orders_(std::move(orders)), http_(loop, listen, BoundsOf(limits), *this) {}
 
 net::HttpAnswer Admin::OnRequest(net::HttpMessage& request) {
-  const auto page = pages_.find(request.target.substr(0, request.target.find('?')));
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const auto order = orders_.find(path);
+  if (request.method == "POST" && order != orders_.end()) return order->second(request.body);
+  const auto page = pages_.find(path);
   if (request.method != "GET" || page == pages_.end()) return net::PlainAnswer(404, "there is no such page");
   return {200, {{"Content-Type", "application/json"}}, page->second() + "\n", 0};
 }
--- a/src/relay/admin.h
+++ b/src/relay/admin.h
@@ -14,9 +14,11 @@
 class Admin : private net::HttpServer::Handler {
  public:
   using Pages = std::map<std::string, std::function<std::string()>>;  // JSON, by path
+  using Orders = std::map<std::string, std::function<net::HttpAnswer(const std::string& body)>>;  // POST
 
   // Throws std::system_error if the address can't be had.
-  Admin(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages);
+  Admin(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages,
+        Orders orders = {});
   sockaddr_in address() const { return http_.address(); }
 
  private:
@@ -24,6 +26,7 @@
   void OnAnswerLost(std::uint64_t) override {}
 
   const Pages pages_;
+  const Orders orders_;
   net::HttpServer http_;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -121,7 +121,8 @@
           Admin::Pages{
               {"/pool", [this] { return joined_ ? joined_->Print().dump() : endpoints_.Print().dump(); }},
               {"/counters", [this] { return counters_.Print(); }},
-              {"/zones", [this] { return (tier_ ? tier_->Print() : nlohmann::ordered_json()).dump(); }}});
+              {"/zones", [this] { return (tier_ ? tier_->Print() : nlohmann::ordered_json()).dump(); }}},
+          Admin::Orders{{"/zones", [this](const std::string& body) { return OrderZone(body); }}});
     });
   if (config.inherited_fd >= 0)
     waits_ = std::make_unique<operation::SharedWaits>(config.state_folder, seats_.own(), seats_.other(),
@@ -315,6 +316,12 @@
                                      static_cast<TierHost::Owner&>(*this));
 }
 
+net::HttpAnswer Relay::OrderZone(const std::string& body) {
+  if (!tier_ || !settings_.tier.zones) return net::PlainAnswer(409, "tier.zones is off here");
+  return TakeZoneOrder(
+      body, [this](const ZoneOrder& order) { return tier_->Order(order.zone, order.what, order.lasts); });
+}
+
 void Relay::TakeNote(int peer, std::string bytes) {
   if (tier_ && tier_->TakeNote(peer, bytes)) return;
   if (learning_ && learning_->TakeNote(peer, bytes)) return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -31,6 +31,7 @@
 #include "relay/tier_host.h"
 #include "relay/transaction_table.h"
 #include "relay/virtual_server.h"
+#include "relay/zone_orders.h"
 
 namespace opalroute {
 
@@ -97,6 +98,7 @@
   void CheckStopped();
   void End();
   void JoinTier();
+  net::HttpAnswer OrderZone(const std::string& body);           // POST /zones
   std::optional<int> PeerAt(const sockaddr_in& address) const;  // its number among them
 
   net::EventLoop& loop_;
--- a/src/relay/tier_host.cpp
+++ b/src/relay/tier_host.cpp
@@ -31,7 +31,7 @@
       kept_(state_.Load(config.name, config.zones, loop.clock().WallMicros(), config.limits.tier_kept)),
       life_(std::max(static_cast<std::uint64_t>(std::max<std::int64_t>(1, loop.clock().WallMicros())),
                      kept_.life + 1)),
-      member_(RulesOf(config, settings), life_, config.settings.seed, loop.Now(), kept_.stages),
+      member_(RulesOf(config, settings), life_, config.settings.seed, loop.Now(), kept_.zones),
       parts_(static_cast<double>(config.peers.size())) {
   log::Info("tier_joins", {{"relays", config.peers.size()}, {"own", config.own_peer}, {"kept", kept_.end}});
   Save();
@@ -57,6 +57,16 @@
 
 void TierHost::Refused(int peer) { member_.Refused(loop_.Now(), peer); }
 
+bool TierHost::Order(const std::string& zone, zones::ByHand order, Seconds lasts) {
+  const auto named = std::find(config_.zones.begin(), config_.zones.end(), zone);
+  if (named == config_.zones.end()) return false;
+  zones::Member::Do what;
+  if (!member_.Order(loop_.Now(), static_cast<int>(named - config_.zones.begin()), order, lasts, what))
+    return false;
+  Do(what);
+  return true;
+}
+
 void TierHost::Leave() {
   zones::Member::Do what;
   member_.Leave(what);
@@ -73,12 +83,19 @@
     owner_.PostTier(std::move(event));
   }
   // Kept before it is told to anybody: a process that dies in between comes back with what the others heard.
-  if (!what.changes.empty()) Save();
+  if (!what.changes.empty() || !what.orders.empty()) Save();
   for (const auto& [to, bytes] : what.notes) {
     ++notes_;
     note_bytes_ += static_cast<long>(bytes.size());
     owner_.SendNote(to == zones::kAll ? std::nullopt : std::optional<int>(to), bytes);
   }
+  for (const zones::Member::Ordered& o : what.orders)
+    log::Warn("zone_order", {{"zone", ZoneName(o.zone)},
+                             {"order", zones::NameOf(o.order.what)},
+                             {"number", o.order.number},
+                             {"told_to", o.order.by},
+                             {"left_s", o.order.until - loop_.Now()},
+                             {"heard", o.heard}});
   for (const zones::Member::Change& c : what.changes)
     log::Warn("zone_stage", {{"zone", ZoneName(c.zone)},
                              {"stage", zones::NameOf(c.now.step)},
@@ -139,6 +156,8 @@
     const zones::Stage& stage = member_.StageOf(zone);
     const zones::View view = member_.ViewOf(now, zone);
     const zones::Order order = member_.OrderFor(now, zone);
+    const zones::ByHand by_hand = member_.InForce(now, zone);
+    const zones::HandOrder& given = member_.HandOrderOf(zone);
     page["zones"].push_back({{"zone", ZoneName(zone)},
                              {"stage", zones::NameOf(stage.step)},
                              {"for_s", std::max(0.0, now - stage.since)},
@@ -150,7 +169,10 @@
                              {"vouchers", view.vouchers},
                              {"partners_failing", view.bad_partners},
                              {"partners", view.partners},
-                             {"why", zones::NameOf(view.wrong)}});
+                             {"why", zones::NameOf(view.wrong)},
+                             {"order", zones::NameOf(by_hand)},
+                             {"order_left_s", by_hand != zones::ByHand::kNone ? given.until - now : 0.0},
+                             {"order_told_to", given.by}});
   }
   return page;
 }
--- a/src/relay/tier_host.h
+++ b/src/relay/tier_host.h
@@ -38,6 +38,8 @@
   // Outcomes of attempts and probes; all else is passed over.
   void Saw(const Event& event);
   void Leave();  // the process is about to end
+  // An operator's order of a zone. False: there is no such zone, or zones are not left together here.
+  bool Order(const std::string& zone, zones::ByHand what, Seconds lasts);
   bool Joined() const { return member_.Joined(loop_.Now()); }
   nlohmann::ordered_json Print() const;  // /zones
 
--- a/src/relay/tier_state.cpp
+++ b/src/relay/tier_state.cpp
@@ -42,34 +42,48 @@
     }
     kept.life = all.at("life").get<std::uint64_t>();
     const double age = static_cast<double>(now - all.at("at").get<std::int64_t>()) / 1e6;
-    if (age < 0 || age > oldest) {
-      kept.end = "too old";
-      return kept;
-    }
-    std::vector<zones::Stage> stages(zones.size());
+    const bool old = age < 0 || age > oldest;
+    std::vector<zones::Stage> stages(old ? 0 : zones.size());
+    std::vector<zones::HandOrder> orders(zones.size());
     for (std::size_t i = 0; i < zones.size(); ++i) {
       const auto row = all.at("zones").find(zones[i]);
       if (row == all.at("zones").end()) continue;  // it is new
       const int step = row->at("step").get<int>();
       if (step < 0 || step > static_cast<int>(zones::Step::kIn)) return kept;
-      stages[i] = {row->at("round").get<std::uint64_t>(), static_cast<zones::Step>(step),
-                   std::clamp(row->at("relapses").get<int>(), 0, 31), age + row->at("age").get<double>()};
+      if (!old)
+        stages[i] = {row->at("round").get<std::uint64_t>(), static_cast<zones::Step>(step),
+                     std::clamp(row->at("relapses").get<int>(), 0, 31), age + row->at("age").get<double>()};
+      const auto order = row->find("order");  // an earlier build writes none
+      if (order == row->end()) continue;
+      const auto what = zones::ByHandOf(order->at("what").get<std::string>());
+      if (!what) return kept;
+      orders[i] = {order->at("number").get<std::uint64_t>(), order->at("by").get<int>(), *what,
+                   order->at("left").get<double>() - std::max(0.0, age)};
     }
-    kept.stages = std::move(stages);
-    kept.end = "whole";
+    kept.zones = {std::move(stages), std::move(orders)};
+    kept.end = old ? "too old" : "whole";
   } catch (const json::exception&) { kept.life = 0; }
   return kept;
 }
 
 bool TierState::Save(const std::string& relay, const std::vector<std::string>& zones, std::int64_t now,
-                     std::uint64_t life, const std::vector<zones::Stage>& stages) const {
+                     std::uint64_t life, const zones::Member::Kept& kept) const {
   json all = {
       {"version", kVersion}, {"relay", relay}, {"life", life}, {"at", now}, {"zones", json::object()}};
-  for (std::size_t i = 0; i < zones.size() && i < stages.size(); ++i)
-    all["zones"][zones[i]] = {{"round", stages[i].round},
-                              {"step", static_cast<int>(stages[i].step)},
-                              {"relapses", stages[i].relapses},
-                              {"age", stages[i].since}};
+  for (std::size_t i = 0; i < zones.size() && i < kept.stages.size(); ++i) {
+    const zones::Stage& stage = kept.stages[i];
+    json& row = all["zones"][zones[i]];
+    row = {{"round", stage.round},
+           {"step", static_cast<int>(stage.step)},
+           {"relapses", stage.relapses},
+           {"age", stage.since}};
+    if (i >= kept.orders.size() || kept.orders[i].number == 0) continue;
+    const zones::HandOrder& order = kept.orders[i];
+    row["order"] = {{"number", order.number},
+                    {"by", order.by},
+                    {"what", zones::NameOf(order.what)},
+                    {"left", order.until}};
+  }
   const std::string record = all.dump();
   if (record.size() > kMostRecord) return false;
   const std::string fresh = path_ + ".new";
--- a/src/relay/tier_state.h
+++ b/src/relay/tier_state.h
@@ -1,12 +1,13 @@
 // What a relay keeps of its tier over restarts, in the state folder: the life of its process, so that notes
-// of an earlier one are known as such whatever the clock says, and the stage of each zone by name.
+// of an earlier one are known as such whatever the clock says, and by name the stage of each zone and what
+// operators have ordered of it.
 #pragma once
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "zones/stages.h"
+#include "zones/member.h"
 
 namespace opalroute {
 
@@ -18,16 +19,16 @@
 
   struct Kept {
     std::uint64_t life = 0;
-    std::vector<zones::Stage> stages;  // by zone as `zones` has them, with ages; empty: nothing was kept
-    std::string end = "none";  // whole; none: there is no file; broken, other version, other relay, too old
+    zones::Member::Kept zones;  // by zone as `zones` has them; empty: nothing was kept
+    std::string end = "none";   // whole; none: there is no file; broken, other version, other relay, too old
   };
   // `now`: Unix time in microseconds. Stages older than `oldest` seconds, or from a clock that was ahead, are
-  // passed over; the life counts all the same.
+  // passed over; the life counts all the same, and so do orders, which have an end of their own.
   Kept Load(const std::string& relay, const std::vector<std::string>& zones, std::int64_t now,
             double oldest) const;
   // False: the folder took nothing, and the old file stands.
   bool Save(const std::string& relay, const std::vector<std::string>& zones, std::int64_t now,
-            std::uint64_t life, const std::vector<zones::Stage>& stages) const;
+            std::uint64_t life, const zones::Member::Kept& kept) const;
   const std::string& path() const { return path_; }
 
  private:
--- a/src/zones/codec.cpp
+++ b/src/zones/codec.cpp
@@ -10,10 +10,11 @@
 using tier::PutNumber;
 using tier::TakeNumber;
 
-constexpr std::uint64_t kMostZones = 64;
+constexpr std::uint64_t kMostZones = 64, kMostPeers = 4096;
 constexpr double kTenths = 10;
 constexpr std::uint64_t kMostAge = 1'000'000;  // tenths
 constexpr int kMostRelapses = 31;
+constexpr std::uint64_t kHasReport = 1, kHasOrders = 2;
 
 void PutAge(std::string& bytes, Seconds age, Seconds most) {
   // Rounded down, so that nothing seems older than it is, however often it is passed on.
@@ -29,6 +30,20 @@
   bytes.remove_prefix(4);
   return bits;
 }
+std::optional<HandOrder> TakeOrder(std::string_view& bytes) {
+  HandOrder order;
+  const auto number = TakeNumber(bytes);
+  if (!number || *number > Orders::kMostNumber) return std::nullopt;
+  order.number = *number;
+  if (order.number == 0) return order;
+  const auto by = TakeNumber(bytes), what = TakeNumber(bytes), left = TakeNumber(bytes);
+  if (!by || !what || !left || *by > kMostPeers || *what > static_cast<std::uint64_t>(ByHand::kKeep))
+    return std::nullopt;
+  order.by = static_cast<tier::Peer>(*by);
+  order.what = static_cast<ByHand>(*what);
+  order.until = static_cast<double>(*left) / kTenths;
+  return order.until <= Orders::kMostLasts ? std::optional(order) : std::nullopt;
+}
 
 }  // namespace
 
@@ -41,9 +56,8 @@
                          static_cast<std::uint64_t>(std::min(s.relapses, kMostRelapses)) << 2);
     PutAge(bytes, s.since, kMostAge / kTenths);
   }
-  PutNumber(bytes, said.report ? 1 : 0);
-  if (!said.report) return bytes;
-  for (const ZoneReport& r : *said.report) {
+  PutNumber(bytes, (said.report ? kHasReport : 0) | (said.orders.empty() ? 0 : kHasOrders));
+  for (const ZoneReport& r : said.report.value_or(Report())) {
     PutBits(bytes, r.good);
     PutBits(bytes, r.bad);
     PutBits(bytes, r.seen);
@@ -51,6 +65,15 @@
     PutAge(bytes, r.bad_age, ZoneReport::kLongestReported);
     PutNumber(bytes, static_cast<std::uint64_t>(r.wrong));
   }
+  for (const HandOrder& order : said.orders) {
+    PutNumber(bytes, order.number);
+    if (order.number == 0) continue;
+    PutNumber(bytes, static_cast<std::uint64_t>(order.by));
+    PutNumber(bytes, static_cast<std::uint64_t>(order.what));
+    // Rounded up: nothing ends before its time, however often it is passed on.
+    PutNumber(bytes, static_cast<std::uint64_t>(
+                         std::ceil(std::clamp(order.until, 0.0, Orders::kMostLasts) * kTenths)));
+  }
   return bytes;
 }
 
@@ -65,10 +88,9 @@
                            static_cast<double>(*age) / kTenths});
   }
   const auto has = TakeNumber(bytes);
-  if (!has || *has > 1) return std::nullopt;
-  if (*has == 0) return bytes.empty() ? std::optional(said) : std::nullopt;
-  said.report.emplace();
-  for (std::uint64_t i = 0; i < *zones; ++i) {
+  if (!has || *has > (kHasReport | kHasOrders)) return std::nullopt;
+  if ((*has & kHasReport) != 0) said.report.emplace();
+  for (std::uint64_t i = 0; said.report && i < *zones; ++i) {
     if (bytes.size() < 12) return std::nullopt;
     ZoneReport r;
     r.good = TakeBits(bytes);
@@ -82,6 +104,11 @@
     r.wrong = static_cast<Wrong>(*wrong);
     said.report->push_back(r);
   }
+  for (std::uint64_t i = 0; (*has & kHasOrders) != 0 && i < *zones; ++i) {
+    const auto order = TakeOrder(bytes);
+    if (!order) return std::nullopt;
+    said.orders.push_back(*order);
+  }
   return bytes.empty() ? std::optional(said) : std::nullopt;
 }
 
--- a/src/zones/codec.h
+++ b/src/zones/codec.h
@@ -1,8 +1,11 @@
-// What a note says of zones: the stage of each, and the sender's report where it has one. Pure.
+// What a note says of zones: the stage of each, and the sender's report and operators' orders where there are
+// any. Pure.
 //
 //   count of zones, then for each: round, step and relapses, age in tenths of a second;
-//   0, or 1 and for each zone: partners served, not served and known (four bytes each), ages in tenths, how
-//   they failed
+//   1 where a report follows, 2 where orders do, 3 for both;
+//   report, for each zone: partners served, not served and known (four bytes each), ages in tenths, how they
+//   failed;
+//   orders, for each zone: 0, or number, the relay that was told, what, and what is left in tenths
 #pragma once
 
 #include <optional>
@@ -11,6 +14,7 @@
 #include <vector>
 
 #include "zones/agreement.h"
+#include "zones/orders.h"
 #include "zones/stages.h"
 
 namespace opalroute::zones {
@@ -18,6 +22,7 @@
 struct Said {
   std::vector<Stage> stages;  // `since` as an age
   std::optional<Report> report;
+  std::vector<HandOrder> orders;  // `until` as what is left; empty: none
 };
 
 std::string WriteSaid(const Said& said);
--- a/src/zones/evidence.cpp
+++ b/src/zones/evidence.cpp
@@ -102,7 +102,6 @@
     latest.served = std::max(latest.served, sent);
     if (sent >= latest.at) latest = {true, sent, latest.served};
     z.good_at = std::max(z.good_at, sent);
-    if (sent > z.bad_at && z.good_since <= z.bad_at) z.good_since = sent;
   } else {
     latest = {false, now, latest.served};
     z.bad_at = now;
@@ -112,7 +111,7 @@
 
 Sight Evidence::Of(Seconds now, int zone) const {
   const Zone& z = zones_[static_cast<std::size_t>(zone)];
-  Sight sight{0, 0, 0, z.good_at, z.bad_at, z.good_since > z.bad_at ? z.good_since : -1e9, z.wrong};
+  Sight sight{0, 0, 0, z.good_at, z.bad_at, z.wrong};
   for (const auto& [destination, latest] : z.latest) {
     const std::uint32_t bit = BitOf(destination);
     // Only since this relay was last served there: where calls fail by chance, none of it adds up.
--- a/src/zones/evidence.h
+++ b/src/zones/evidence.h
@@ -22,7 +22,6 @@
   std::uint32_t seen = 0;           // partners that were served within `remembered`
   Seconds good_at = -1e9;           // the latest call that was served, by when it was sent
   Seconds bad_at = -1e9;            // the latest that was not, by when that was known
-  Seconds good_since = -1e9;        // the first served one since the latest that was not; -1e9: none
   Wrong wrong{};                    // of the latest
   bool Accuses() const { return bad != 0 && bad_at >= good_at; }
 };
@@ -63,7 +62,7 @@
   };
   struct Zone {
     std::unordered_map<DestinationId, Latest> latest;
-    Seconds good_at = -1e9, bad_at = -1e9, good_since = -1e9;
+    Seconds good_at = -1e9, bad_at = -1e9;
     Wrong wrong{};
   };
   void Note(Seconds now, int zone, DestinationId destination, Seconds sent, Wrong wrong);
--- a/src/zones/member.cpp
+++ b/src/zones/member.cpp
@@ -11,7 +11,7 @@
 }  // namespace
 
 Member::Member(const MemberRules& rules, std::uint64_t life, std::uint64_t seed, Seconds now,
-               const std::vector<Stage>& kept)
+               const Kept& kept)
     : rules_(rules),
       life_(life),
       started_(now),
@@ -20,13 +20,19 @@
       evidence_(rules.evidence, rules.zones),
       agreement_(rules.agreement, rules.zones),
       stages_(rules.stages, rules.zones, rules.tier.own),
+      orders_(rules.zones),
       zones_(static_cast<std::size_t>(rules.zones)),
       bucket_{2, now},
       parts_told_(rules.tier.size) {
-  if (kept.size() != zones_.size()) return;
+  for (int zone = 0; kept.orders.size() == zones_.size() && zone < rules.zones; ++zone) {
+    HandOrder order = kept.orders[static_cast<std::size_t>(zone)];
+    order.until += now;
+    orders_.Hear(now, zone, order);
+  }
+  if (kept.stages.size() != zones_.size()) return;
   // With no word yet the careful stage: what was being left is out, and a return begins anew.
   for (int zone = 0; zone < rules.zones; ++zone) {
-    Stage stage = kept[static_cast<std::size_t>(zone)];
+    Stage stage = kept.stages[static_cast<std::size_t>(zone)];
     if (stage.step == Step::kLeaving) stage.step = Step::kOut;
     stage.since = now;
     stages_.Hear(now, zone, stage);
@@ -53,8 +59,17 @@
     const Stage before = stages_.Of(zone);
     Stage heard = said.stages[static_cast<std::size_t>(zone)];
     heard.since = now - heard.since;
-    if (stages_.Hear(now, zone, heard))
+    auto& also_there = zones_[static_cast<std::size_t>(zone)].also_there;
+    if (stages_.Hear(now, zone, heard)) {
       out.changes.push_back({zone, before, stages_.Of(zone), agreement_.Of(now, zone), true});
+      also_there.reset();
+    } else if (also_there && !heard.Before(before)) {
+      if (++*also_there >= rules_.told_stage) also_there.reset();
+    }
+    if (said.orders.size() != zones_.size()) continue;
+    HandOrder order = said.orders[static_cast<std::size_t>(zone)];
+    order.until += now;
+    if (orders_.Hear(now, zone, order)) out.orders.push_back({zone, order, true});
   }
   TellModule(now, out);
 }
@@ -78,12 +93,14 @@
 }
 
 Said Member::Say(Seconds now, bool report) const {
-  Said said{Keep(now), std::nullopt};
+  Said said{StagesByAge(now), std::nullopt, orders_.Tell(now)};
   if (report) said.report = OwnReport(now);
   return said;
 }
 
-std::vector<Stage> Member::Keep(Seconds now) const {
+Member::Kept Member::Keep(Seconds now) const { return {StagesByAge(now), orders_.Tell(now)}; }
+
+std::vector<Stage> Member::StagesByAge(Seconds now) const {
   std::vector<Stage> stages;
   for (int zone = 0; zone < rules_.zones; ++zone) {
     stages.push_back(stages_.Of(zone));
@@ -125,6 +142,11 @@
   return z.is_accused && sight.good != 0 && sight.good_at > std::max(z.accused, z.reported);
 }
 
+// This relay has come to a stage by itself that others may not know of.
+bool Member::HasStage() const {
+  return std::any_of(zones_.begin(), zones_.end(), [](const Zone& z) { return z.also_there.has_value(); });
+}
+
 // Others have told as much as the verdict needs, of every zone that this relay has news of.
 bool Member::SaidEnough(Seconds now) const {
   const int quorum = agreement_.QuorumOf(rules_.tier.size);
@@ -141,7 +163,7 @@
 
 void Member::ReportIfDue(Seconds now, Do& out) {
   if (report_at_ == kNever) {
-    bool news = false;
+    bool news = HasStage();
     for (int zone = 0; zone < rules_.zones; ++zone) news = news || HasNews(now, zone);
     if (!news) return;
     report_at_ = now + rules_.heed * random_.Unit();
@@ -152,18 +174,30 @@
   bucket_.Fill(now, rate, 2);
   if (bucket_.tokens < 1) return;
   report_at_ = kNever;
-  if (SaidEnough(now)) return;
+  if (SaidEnough(now) && !HasStage()) return;
   bucket_.tokens -= 1;
   for (int zone = 0; zone < rules_.zones; ++zone) {
     const Sight sight = evidence_.Of(now, zone);
     zones_[static_cast<std::size_t>(zone)].reported = std::max(sight.good_at, sight.bad_at);
+    zones_[static_cast<std::size_t>(zone)].also_there.reset();
   }
+  TellAll(now, out);
+}
+
+void Member::TellAll(Seconds now, Do& out) {
   std::vector<tier::Tier::Out> notes(1);
   notes[0].to = kAll;
   notes[0].note = tier_.Blank(tier::NoteKind::kTold);
   Write(now, notes, out);
 }
 
+bool Member::Order(Seconds now, int zone, ByHand what, Seconds lasts, Do& out) {
+  if (!rules_.leave || zone < 0 || zone >= rules_.zones) return false;
+  out.orders.push_back({zone, orders_.Give(now, zone, what, lasts, rules_.tier.own), false});
+  TellAll(now, out);
+  return true;
+}
+
 void Member::Tick(Seconds now, Do& out) {
   std::vector<tier::Tier::Out> notes;
   tier_.Tick(now, notes);
@@ -185,10 +219,12 @@
       // Danger: where all zones fail at once the first to be accused has the others' past to stand against.
       const Seconds control_since = before.step == Step::kLeaving ? before.since - kControlBefore : -1e9;
       const Stages::Facts facts{agreement_.Failing(now, zone, parts, control_since),
-                                agreement_.Contradicted(now, zone), evidence_.Of(now, zone), live};
+                                agreement_.Contradicted(now, zone), evidence_.Of(now, zone), live,
+                                orders_.InForce(now, zone)};
       if (stages_.Tick(now, zone, facts)) {
         out.changes.push_back({zone, before, stages_.Of(zone), view, false});
-        report_at_ = std::min(report_at_, now);  // whoever has not agreed by itself hears it
+        // Whoever has not agreed by itself hears it. That a zone is being left is a question, and not spread.
+        z.also_there = stages_.Of(zone).step == Step::kLeaving ? std::nullopt : std::optional(0);
       }
     }
     ReportIfDue(now, out);
@@ -206,7 +242,7 @@
   }
   for (int zone = 0; zone < rules_.zones; ++zone) {
     Zone& z = zones_[static_cast<std::size_t>(zone)];
-    const Order order = stages_.OrderFor(now, zone);
+    const zones::Order order = stages_.OrderFor(now, zone);
     if (order == z.told) continue;
     z.told = order;
     out.events.emplace_back(ZoneShare{zone, order.share, order.scout});
--- a/src/zones/member.h
+++ b/src/zones/member.h
@@ -14,6 +14,7 @@
 #include "zones/agreement.h"
 #include "zones/codec.h"
 #include "zones/evidence.h"
+#include "zones/orders.h"
 #include "zones/stages.h"
 
 namespace opalroute::zones {
@@ -29,6 +30,7 @@
   bool shares = true;            // the module's parts follow the tier's size
   bool leave = true;             // zones are left together
   Seconds heed = 0.15;           // a report waits up to this, and does not go if others have said enough
+  int told_stage = 3;            // a new stage: so many others have told it
   double reports_a_second = 20;  // of the whole tier, in the mean
   Seconds grow_every = 0.5;      // parts grow no more often; they fall at once
   Seconds join_time = 0.3;       // a process that starts waits so long for the first word
@@ -42,15 +44,26 @@
     View view;
     bool heard = false;  // taken over from another relay
   };
+  struct Ordered {  // by an operator, here or elsewhere
+    int zone = 0;
+    HandOrder order;
+    bool heard = false;
+  };
   struct Do {
     std::vector<std::pair<tier::Peer, std::string>> notes;  // to kAll: to every other one
     std::vector<opalroute::Event> events;                   // for the decision module
     std::vector<Change> changes;
+    std::vector<Ordered> orders;
   };
 
-  // `kept`: the stages as an earlier process of this relay left them, with ages; none: nothing is known.
+  // What an earlier process of this relay left: stages with ages, and orders with what was left of them; by
+  // zone, or nothing.
+  struct Kept {
+    std::vector<Stage> stages;
+    std::vector<HandOrder> orders;
+  };
   Member(const MemberRules& rules, std::uint64_t life, std::uint64_t seed, Seconds now,
-         const std::vector<Stage>& kept = {});
+         const Kept& kept = {});
 
   void Sent(Seconds now, int zone, DestinationId destination, EndpointId endpoint) {
     evidence_.Sent(now, zone, destination, endpoint);
@@ -65,15 +78,20 @@
   // To be called every `kTick`.
   void Tick(Seconds now, Do& out);
   void Leave(Do& out);
+  // An operator's order to this relay: it is told to all. False: zones are not left together here, or there
+  // is no such zone.
+  bool Order(Seconds now, int zone, ByHand what, Seconds lasts, Do& out);
 
   // Word has come, or none will: clients may be let in.
   bool Joined(Seconds now) const;
   const tier::Tier& tier() const { return tier_; }
   const Stage& StageOf(int zone) const { return stages_.Of(zone); }
   View ViewOf(Seconds now, int zone) const { return agreement_.Of(now, zone); }
-  Order OrderFor(Seconds now, int zone) const { return stages_.OrderFor(now, zone); }
+  zones::Order OrderFor(Seconds now, int zone) const { return stages_.OrderFor(now, zone); }
+  const HandOrder& HandOrderOf(int zone) const { return orders_.Of(zone); }
+  ByHand InForce(Seconds now, int zone) const { return orders_.InForce(now, zone); }
   int zones() const { return rules_.zones; }
-  std::vector<Stage> Keep(Seconds now) const;  // for the next process, with ages
+  Kept Keep(Seconds now) const;  // for the next process
 
   static constexpr Seconds kTick = 0.05;
 
@@ -82,17 +100,23 @@
     Seconds reported = -1e9;  // the newest sight that has been told
     Seconds accused = -1e9;   // since then others accuse it, or it is being left
     bool is_accused = false;
-    Order told;
+    // Of the stage that this relay has come to by itself: others that were heard to be in it; or nothing to
+    // tell.
+    std::optional<int> also_there;
+    zones::Order told;
   };
   Said Say(Seconds now, bool report) const;
   Report OwnReport(Seconds now) const;
   void Write(Seconds now, std::vector<tier::Tier::Out>& notes, Do& out);
   bool HasNews(Seconds now, int zone) const;
   bool SaidEnough(Seconds now) const;
+  bool HasStage() const;
   bool IsQuiet(Seconds now) const;
   void ReportIfDue(Seconds now, Do& out);
   void TellModule(Seconds now, Do& out);
   void Hear(Seconds now, const Said& said, Do& out);
+  void TellAll(Seconds now, Do& out);
+  std::vector<Stage> StagesByAge(Seconds now) const;
 
   const MemberRules rules_;
   const std::uint64_t life_;
@@ -102,6 +126,7 @@
   Evidence evidence_;
   Agreement agreement_;
   Stages stages_;
+  Orders orders_;
   std::vector<Zone> zones_;
   TokenBucket bucket_{2, 0};
   Seconds report_at_ = kNever;
--- a/src/zones/stages.cpp
+++ b/src/zones/stages.cpp
@@ -33,6 +33,7 @@
 void Stages::Enter(Seconds now, Zone& zone, std::uint64_t round, Step step, int relapses) {
   zone.stage = {round, step, relapses, now};
   zone.scout = false;
+  zone.served_since = -1;
 }
 
 bool Stages::Hear(Seconds now, int zone, const Stage& stage) {
@@ -41,6 +42,7 @@
     z.stage = stage;
     z.stage.since = std::min(now, stage.since);
     z.scout = false;
+    z.served_since = -1;
     return true;
   }
   // The same one: the earliest beginning is the true one, as ages are rounded down and notes take time.
@@ -57,13 +59,38 @@
   return now - z.failing_since >= rules_.agreed_for;
 }
 
+// Danger: who has met no bad call there, as the zone was left on others' words or by hand, has been served
+// since long before: only what is served in this stage says that it serves again.
+bool Stages::Serves(Zone& z, const Sight& own) const {
+  if (own.bad_at >= z.served_since) z.served_since = -1;
+  if (own.good_at <= std::max(z.stage.since, own.bad_at)) return false;
+  if (z.served_since < 0) z.served_since = own.good_at;
+  return own.good_at - z.served_since >= rules_.served_for;
+}
+
+// True: the stage has changed. Whoever does not know the order hears a stage that is later than its own.
+bool Stages::Obey(Seconds now, Zone& z, ByHand order) {
+  const Stage s = z.stage;
+  if (order == ByHand::kLeave && s.step != Step::kOut) {
+    Enter(now, z, s.step == Step::kLeaving ? s.round : s.round + 1, Step::kOut, s.relapses);
+  } else if (order == ByHand::kKeep && s.step == Step::kLeaving) {
+    Enter(now, z, s.round, Step::kIn, s.relapses);
+  } else if (order == ByHand::kKeep && s.step == Step::kOut) {
+    Enter(now, z, s.round, Step::kReturning, s.relapses);  // its endpoints may be cold all the same
+  } else {
+    return false;
+  }
+  return true;
+}
+
 bool Stages::Tick(Seconds now, int zone, const Facts& facts) {
   Zone& z = zones_[static_cast<std::size_t>(zone)];
+  if (Obey(now, z, facts.order)) return true;
   const Stage s = z.stage;
   switch (s.step) {
     case Step::kIn:
       if (s.relapses > 0 && now - s.since > rules_.calm) z.stage.relapses = 0;
-      if (!Leaves(now, z, facts)) return false;
+      if (facts.order == ByHand::kKeep || !Leaves(now, z, facts)) return false;
       Enter(now, z, s.round + 1, Step::kLeaving, z.stage.relapses);
       return true;
     case Step::kLeaving:
@@ -74,17 +101,18 @@
         return Enter(now, z, s.round, Step::kIn, s.relapses), true;
       return false;
     case Step::kOut: {
+      z.scout = false;
+      if (facts.order == ByHand::kLeave) return false;
       const std::vector<tier::Peer> scouts = ScoutsOf(facts.live, zone, s.round, rules_.scouts);
       z.scout = std::find(scouts.begin(), scouts.end(), own_) != scouts.end();
       const Seconds least = std::min(rules_.most_out, rules_.least_out * std::exp2(std::min(s.relapses, 10)));
-      const bool served = facts.own.good_since > s.since && facts.own.good_at > facts.own.bad_at &&
-                          facts.own.good_at - facts.own.good_since >= rules_.served_for;
-      if (now - s.since < least || !served) return false;
+      if (!Serves(z, facts.own) || now - s.since < least) return false;
       Enter(now, z, s.round, Step::kReturning, s.relapses);
       return true;
     }
     case Step::kReturning:
-      if (Leaves(now, z, facts)) return Enter(now, z, s.round + 1, Step::kOut, s.relapses + 1), true;
+      if (facts.order != ByHand::kKeep && Leaves(now, z, facts))
+        return Enter(now, z, s.round + 1, Step::kOut, s.relapses + 1), true;
       if (now - s.since < rules_.ramp) return false;
       Enter(now, z, s.round, Step::kIn, s.relapses);
       return true;
--- a/src/zones/stages.h
+++ b/src/zones/stages.h
@@ -4,6 +4,8 @@
 //
 //   in -> leaving -> out -> returning -> in      a relapse, or the next failure, begins a new round
 //            \-> in (contradicted, or never agreed)
+// By hand: `leave` brings it to out, and there it stays, untried, until the order ends; `keep` lets it return
+// and holds it in.
 #pragma once
 
 #include <cstdint>
@@ -11,6 +13,7 @@
 
 #include "tier/note.h"
 #include "zones/agreement.h"
+#include "zones/orders.h"
 
 namespace opalroute::zones {
 
@@ -60,6 +63,7 @@
     bool contradicted = false;  // by as many as it takes
     Sight own;
     std::vector<tier::Peer> live;
+    ByHand order{};  // of the operators, in force
   };
   // True: the stage has changed.
   bool Tick(Seconds now, int zone, const Facts& facts);
@@ -71,9 +75,13 @@
     Stage stage;
     Seconds failing_since = -1;  // below 0: it is not
     bool scout = false;
+    // Out: the first call of this relay that was served since, with none that was not after it; below 0: none.
+    Seconds served_since = -1;
   };
+  bool Serves(Zone& zone, const Sight& own) const;
   void Enter(Seconds now, Zone& zone, std::uint64_t round, Step step, int relapses);
   bool Leaves(Seconds now, Zone& zone, const Facts& facts);
+  bool Obey(Seconds now, Zone& zone, ByHand order);
 
   const StageRules rules_;
   const tier::Peer own_;
--- a/tests/tier_processes_test.cpp
+++ b/tests/tier_processes_test.cpp
@@ -3,11 +3,13 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <map>
 
 #include "lab/sockets/play.h"
 #include "lab/sockets/post.h"
+#include "lab/world.h"
 
 namespace opalroute::lab {
 namespace {
@@ -25,17 +27,22 @@
   const std::string path_;
 };
 
-TEST_CASE(
-    "processes: 24 of them leave a zone that is shut, and return, though six are killed and two frozen") {
+// One of lab/scenarios, with the notes of all relays on their stages.
+RunResult Play(const std::string& name) {
   const Folder folder;
   SocketOptions options;
   options.program = RELAY_PROGRAM;
   options.folder = folder.path();
   options.most_lateness = options.most_lateness_p99 = 1e9;
-  const Scenario scenario = LoadScenario(std::string(SCENARIOS) + "/zone_processes.json");
+  const Scenario scenario = LoadScenario(std::string(SCENARIOS) + "/" + name + ".json");
   const RunResult r = PlayOnSockets(scenario, 1, options);
   for (const Breach& b : r.breaches) FAIL_CHECK(NameOf(b.kind), " ", b.at, " ", b.trace);
   for (const Crash& c : r.crashes) FAIL_CHECK(c.relay, " ", c.how, "\n", c.last_log);
+  return r;
+}
+
+// All 24 have left zone 1 and no other, have returned, and are in it.
+void CheckOneLeft(const RunResult& r) {
   std::map<int, std::string> steps;  // by relay, of the zone, in their order
   for (const StageChange& c : r.stage_changes) {
     if (c.zone == 1) steps[c.relay] += c.step + " ";
@@ -51,13 +58,44 @@
     CHECK(returning != std::string::npos);
     CHECK(order.rfind("in ") == order.size() - 3);
   }
+  CHECK(r.notes > 1000);
+}
+
+// Calls from second to second: into zone 1, and into all.
+std::pair<long, long> CallsWithin(const RunResult& r, std::size_t from, std::size_t to) {
   long into = 0, all = 0;
-  for (std::size_t second = 8; second < 11; ++second) {
+  for (std::size_t second = from; second < to; ++second) {
     into += r.seconds[second].zone_calls.size() > 1 ? r.seconds[second].zone_calls[1] : 0;
     all += r.seconds[second].calls;
   }
+  return {into, all};
+}
+
+TEST_CASE(
+    "processes: 24 of them leave a zone that is shut, and return, though six are killed and two frozen") {
+  const RunResult r = Play("zone_processes");
+  CheckOneLeft(r);
+  const auto [into, all] = CallsWithin(r, 8, 11);
   CHECK(into * 4 < all);
-  CHECK(r.notes > 1000);
+}
+
+TEST_CASE(
+    "processes: 24 of them obey an operator's order that one was told, though it dies and four are cut off") {
+  const RunResult r = Play("zone_orders");
+  CheckOneLeft(r);
+  // What stands in that zone alone is still called there.
+  const World world(LoadScenario(std::string(SCENARIOS) + "/zone_orders.json"), 1);
+  double alone = 0;
+  for (const WorldPartner& p : world.partners())
+    if (std::all_of(p.endpoints.begin(), p.endpoints.end(),
+                    [&](EndpointId id) { return world.endpoint(id).zone == 1; }))
+      alone += p.share;
+  const auto [before, all_before] = CallsWithin(r, 1, 4);
+  const auto [into, all] = CallsWithin(r, 7, 9);
+  CHECK(static_cast<double>(into) < (alone + 0.08) * static_cast<double>(all));
+  CHECK(static_cast<double>(before) > (alone + 0.2) * static_cast<double>(all_before));
+  const auto [after, all_after] = CallsWithin(r, 20, 23);
+  CHECK(static_cast<double>(after) > (alone + 0.2) * static_cast<double>(all_after));
 }
 
 // Two relays' sockets and the forwarder between them, in this process.
--- a/tests/tier_stage.h
+++ b/tests/tier_stage.h
@@ -17,7 +17,7 @@
  public:
   struct Relay {
     std::unique_ptr<zones::Member> member;
-    std::vector<zones::Stage> kept;
+    zones::Member::Kept kept;
     Seconds frozen_until = -1;
     double parts = 0;
     std::vector<std::pair<int, std::string>> waiting;  // notes for a frozen one
@@ -48,7 +48,7 @@
   void Kill(int relay, bool forgets = false) {
     Relay& r = Of(relay);
     if (!r.member) return;
-    r.kept = forgets ? std::vector<zones::Stage>() : r.member->Keep(now);
+    r.kept = forgets ? zones::Member::Kept() : r.member->Keep(now);
     r.member.reset();
     r.parts = 0;
     r.waiting.clear();
@@ -59,6 +59,11 @@
     Do(relay, what);
     Kill(relay);
   }
+  void Order(int relay, int zone, zones::ByHand order, Seconds lasts) {
+    zones::Member::Do what;
+    Of(relay).member->Order(now, zone, order, lasts, what);
+    Do(relay, what);
+  }
   void Freeze(int relay, Seconds until) { Of(relay).frozen_until = until; }
   bool IsUp(int relay) const { return relays_[static_cast<std::size_t>(relay)].member != nullptr; }
   bool IsAwake(int relay) const {
--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -156,22 +156,31 @@
   const std::vector<std::string> names = {"ground", "first"};
   constexpr std::int64_t kNow = 1'764'000'000'000'000;
   CHECK(state.Load("n1", names, kNow, 120).end == "none");
-  REQUIRE(state.Save("n1", names, kNow, 77, {{3, zones::Step::kOut, 2, 4.5}, {1, zones::Step::kIn, 0, 100}}));
+  const std::vector<zones::Stage> stages = {{3, zones::Step::kOut, 2, 4.5}, {1, zones::Step::kIn, 0, 100}};
+  REQUIRE(state.Save("n1", names, kNow, 77, {stages, {{5, 2, zones::ByHand::kLeave, 300}, {}}}));
   const auto kept = state.Load("n1", {"first", "new", "ground"}, kNow + 2'000'000, 120);
   CHECK(kept.end == "whole");
   CHECK(kept.life == 77);
-  REQUIRE(kept.stages.size() == 3);
-  CHECK(kept.stages[2].step == zones::Step::kOut);
-  CHECK(kept.stages[2].round == 3);
-  CHECK(kept.stages[2].relapses == 2);
-  CHECK(kept.stages[2].since == doctest::Approx(6.5));
-  CHECK(kept.stages[1].step == zones::Step::kIn);
+  REQUIRE(kept.zones.stages.size() == 3);
+  CHECK(kept.zones.stages[2].step == zones::Step::kOut);
+  CHECK(kept.zones.stages[2].round == 3);
+  CHECK(kept.zones.stages[2].relapses == 2);
+  CHECK(kept.zones.stages[2].since == doctest::Approx(6.5));
+  CHECK(kept.zones.stages[1].step == zones::Step::kIn);
+  REQUIRE(kept.zones.orders.size() == 3);
+  CHECK(kept.zones.orders[0].number == 0);
+  CHECK(kept.zones.orders[2].number == 5);
+  CHECK(kept.zones.orders[2].what == zones::ByHand::kLeave);
+  CHECK(kept.zones.orders[2].until == doctest::Approx(298));
   CHECK(state.Load("n2", names, kNow, 120).end == "other relay");
-  CHECK(state.Load("n2", names, kNow, 120).stages.empty());
+  CHECK(state.Load("n2", names, kNow, 120).zones.stages.empty());
   for (const std::int64_t now : {kNow + 121'000'000, kNow - 1'000'000}) {  // old, or the clock was set back
     CHECK(state.Load("n1", names, now, 120).end == "too old");
     CHECK(state.Load("n1", names, now, 120).life == 77);  // its notes must still be newer
-    CHECK(state.Load("n1", names, now, 120).stages.empty());
+    CHECK(state.Load("n1", names, now, 120).zones.stages.empty());
+    // An order has an end of its own: no folder grows too old for it before that.
+    CHECK(state.Load("n1", names, now, 120).zones.orders.at(0).until <= 300);
+    CHECK(state.Load("n1", names, now, 120).zones.orders.at(0).until > 178);
   }
   std::stringstream whole;
   whole << std::ifstream(state.path(), std::ios::binary).rdbuf();
@@ -182,7 +191,7 @@
     std::string wrong = bytes;
     wrong[size] = static_cast<char>(wrong[size] ^ 1);
     std::ofstream(state.path(), std::ios::binary | std::ios::trunc) << wrong;
-    CHECK(state.Load("n1", names, kNow, 120).stages.empty());
+    CHECK(state.Load("n1", names, kNow, 120).zones.stages.empty());
   }
   fs::permissions(folder, fs::perms::owner_read | fs::perms::owner_exec);
   if (geteuid() != 0) CHECK(!state.Save("n1", names, kNow, 78, {}));
