--- a/src/zones/stages.h
+++ b/src/zones/stages.h
@@ -75,7 +75,8 @@
     Stage stage;
     Seconds failing_since = -1;  // below 0: it is not
     bool scout = false;
-    // Out: the first call of this relay that was served since, with none that was not after it; below 0: none.
+    // Out: the first call of this relay that was served since, with none that was not after it; below 0:
+    // none.
     Seconds served_since = -1;
   };
   bool Serves(Zone& zone, const Sight& own) const;
