Who was frozen while others left a zone no longer calls all of them back into it

Cause: zone_processes_300.json in simulated time: 290 relays are out at 12.4 s; ten that were frozen from 11.5 to 14.5 s, while the zone was in question, wake, withdraw the question (Stages::Tick, `undecided`), and their `in` of round 1 is later than the others' `out` of round 1 in the order of steps: at 14.50 s all 280 that hear it are in, and the zone is shut until 18 s. Ruled out: the agreement (it asked anew at 14.55 s). The same holds for who is cut off between question and answer.

Change: out begins a round of its own, so a withdrawal is never later than it. Notes and the state folder keep their form.

--- a/src/zones/stages.cpp
+++ b/src/zones/stages.cpp
@@ -72,7 +72,7 @@
 bool Stages::Obey(Seconds now, Zone& z, ByHand order) {
   const Stage s = z.stage;
   if (order == ByHand::kLeave && s.step != Step::kOut) {
-    Enter(now, z, s.step == Step::kLeaving ? s.round : s.round + 1, Step::kOut, s.relapses);
+    Enter(now, z, s.round + 1, Step::kOut, s.relapses);
   } else if (order == ByHand::kKeep && s.step == Step::kLeaving) {
     Enter(now, z, s.round, Step::kIn, s.relapses);
   } else if (order == ByHand::kKeep && s.step == Step::kOut) {
@@ -96,7 +96,7 @@
     case Step::kLeaving:
       // Whoever is served there since says so within the time that this lasts.
       if (now - s.since >= rules_.leaving && facts.failing)
-        return Enter(now, z, s.round, Step::kOut, s.relapses), true;
+        return Enter(now, z, s.round + 1, Step::kOut, s.relapses), true;
       if (now - s.since >= rules_.undecided || (now - s.since >= rules_.leaving && facts.contradicted))
         return Enter(now, z, s.round, Step::kIn, s.relapses), true;
       return false;
--- a/src/zones/stages.h
+++ b/src/zones/stages.h
@@ -2,10 +2,11 @@
 // round, by its step: whoever hears of a later one takes it over, so notes may be lost, doubled or out of
 // order.
 //
-//   in -> leaving -> out -> returning -> in      a relapse, or the next failure, begins a new round
+//   in -> leaving -> out -> returning -> in      a question (leaving) begins a new round, and so does out
 //            \-> in (contradicted, or never agreed)
-// By hand: `leave` brings it to out, and there it stays, untried, until the order ends; `keep` lets it return
-// and holds it in.
+// Danger: who was frozen or cut off while others agreed withdraws the question that they have answered. As
+// out begins a round, no withdrawal is later than it. By hand: `leave` brings it to out, and there it stays,
+// untried, until the order ends; `keep` lets it return and holds it in.
 #pragma once
 
 #include <cstdint>
