--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -186,14 +186,16 @@
   void On(const ZoneShare& told) {
     const double before = std::exchange(zones_[told.zone], told).share;
     for (auto& [id, e] : endpoints_) {
-      if (e.zone == told.zone && told.scout) Open(e, false);  // it is tried, and no more
-      if (e.zone != told.zone || before > 0 || told.share <= 0 || !IsApart(e)) continue;
-      e.lane->cold = true;
-      e.lane->ramp_from = kNever;  // Danger: a zone returns on a few words; each lane on a call served there
+      if (e.zone != told.zone) continue;
+      if (told.scout) Open(e, false);           // it is tried, and no more
+      if (told.share <= 0) unused_.insert(id);  // what is kept may serve on while nothing new comes up
+      if (before > 0 || told.share <= 0 || !IsApart(e)) continue;
+      e.lane->cold = true;  // Danger: nobody has called it since, and all come back at this moment
+      StartSlowly(*e.lane);
+      if (e.circuit == Circuit::kOpen) e.circuit = Circuit::kHalfOpen;
     }
   }
-  // Never the last zone of a destination: only where one that is left less has an endpoint that seems to
-  // serve.
+  // Never the last zone of a destination: only where one that is left less seems to serve.
   bool IsLeft(const Destination& d, const Endpoint& e) {
     const ZoneShare order = zones_[e.zone];
     if (order.scout || order.share >= 1 || (order.share > 0 && random_.Unit() < order.share)) return false;
@@ -699,8 +701,8 @@
       e.out.erase(e.out.find(a.sent));
     }
     Judge(e, m, r, news, bundle);
-    if (e.out.empty() &&
-        ((s_.couriers > kKeepers && !s_.may_tell_peers) || now_ - e.crowded_at < kCrowdedFor * s_.ramp_time))
+    if (e.out.empty() && ((s_.couriers > kKeepers && !s_.may_tell_peers) || zones_[e.zone].share <= 0 ||
+                          now_ - e.crowded_at < kCrowdedFor * s_.ramp_time))
       unused_.insert(e.endpoint);
     if (r.outcome == Outcome::kTimeout) ++m.timeouts;
     const bool may_still_run =
@@ -1031,7 +1033,7 @@
 
   const Settings s_;
   Random random_;
-  Seconds now_ = 0;
+  Seconds now_ = 0, longest_aim_ = 0;
   std::vector<Action>* actions_ = nullptr;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, Destination> destinations_;
@@ -1047,7 +1049,6 @@
   std::vector<TokenBucket> tenant_buckets_;
   TokenBucket notes_{2, 0};  // that may be told now
   Latency all_latency_;
-  Seconds longest_aim_ = 0;
   double parts_ = std::max(1, s_.couriers);  // that limits are shared by, as far as is known
   std::map<int, ZoneShare> zones_;
   int held_ = 0;
--- a/src/zones/agreement.cpp
+++ b/src/zones/agreement.cpp
@@ -63,14 +63,15 @@
   return std::min(1 + static_cast<int>(std::ceil(rules_.quorum * parts)), rules_.most_quorum);
 }
 
-bool Agreement::Failing(Seconds now, int zone, double parts, Seconds control_since) const {
+bool Agreement::Failing(Seconds now, int zone, double parts, Seconds control_since, bool moved) const {
   const View v = Of(now, zone);
   if (v.accusers < QuorumOf(parts) || v.vouchers > rules_.against * v.accusers) return false;
   if (v.bad_partners < rules_.least_partners || v.words < rules_.least_words) return false;
-  if (v.bad_partners < rules_.partners * v.partners) return false;
   if (v.wrong == Wrong::kSlow) return false;  // it serves; told, not left
   // Danger: above their limits most of a zone's partners may turn all away for a while. A zone spares nobody.
-  if (v.wrong == Wrong::kTurnedAway && v.good_partners > 0) return false;
+  const bool away = v.wrong == Wrong::kTurnedAway;
+  if (away && v.good_partners > 0) return false;
+  if (v.bad_partners < (away && moved ? 1 : rules_.partners) * v.partners) return false;
   for (int other = 0; other < zones_; ++other) {
     if (other == zone) continue;
     const View control = Of(now, other, std::min(rules_.control_for, now - control_since));
--- a/src/zones/agreement.h
+++ b/src/zones/agreement.h
@@ -59,8 +59,8 @@
   View Of(Seconds now, int zone) const;
   int QuorumOf(double parts) const;
   // The zone as a whole does not serve, though another one does: to relays whose calls there were sent
-  // since `control_since`.
-  bool Failing(Seconds now, int zone, double parts, Seconds control_since = -1e9) const;
+  // since `control_since`. `moved`: another zone has been left, and its load is here too.
+  bool Failing(Seconds now, int zone, double parts, Seconds control_since = -1e9, bool moved = false) const;
   // The same relays say otherwise: at least a quarter as many as accuse it are served there.
   bool Contradicted(Seconds now, int zone) const;
 
--- a/src/zones/member.cpp
+++ b/src/zones/member.cpp
@@ -135,6 +135,12 @@
   return true;
 }
 
+bool Member::IsAnotherLeft(int zone) const {
+  for (int other = 0; other < rules_.zones; ++other)
+    if (other != zone && stages_.Of(other).step != Step::kIn) return true;
+  return false;
+}
+
 bool Member::HasNews(Seconds now, int zone) const {
   const Zone& z = zones_[static_cast<std::size_t>(zone)];
   const Sight sight = evidence_.Of(now, zone);
@@ -218,7 +224,7 @@
       if (before.step == Step::kOut && live.empty()) live = tier_.Live(now);
       // Danger: where all zones fail at once the first to be accused has the others' past to stand against.
       const Seconds control_since = before.step == Step::kLeaving ? before.since - kControlBefore : -1e9;
-      const Stages::Facts facts{agreement_.Failing(now, zone, parts, control_since),
+      const Stages::Facts facts{agreement_.Failing(now, zone, parts, control_since, IsAnotherLeft(zone)),
                                 agreement_.Contradicted(now, zone), evidence_.Of(now, zone), live,
                                 orders_.InForce(now, zone)};
       if (stages_.Tick(now, zone, facts)) {
--- a/src/zones/member.h
+++ b/src/zones/member.h
@@ -108,6 +108,7 @@
   Said Say(Seconds now, bool report) const;
   Report OwnReport(Seconds now) const;
   void Write(Seconds now, std::vector<tier::Tier::Out>& notes, Do& out);
+  bool IsAnotherLeft(int zone) const;
   bool HasNews(Seconds now, int zone) const;
   bool SaidEnough(Seconds now) const;
   bool HasStage() const;
