--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -98,7 +98,18 @@
                                 {"notes", notes},
                                 {"note_bytes", note_bytes},
                                 {"endpoint_calls", endpoint_calls},
-                                {"relay_calls", relay_calls}};
+                                {"relay_calls", relay_calls},
+                                {"handshakes", handshakes}};
+  for (const int seconds : {1, 10}) {
+    const Evenness e = even.Of(seconds);
+    all["evenness"].push_back({{"span_s", e.span},
+                               {"counted", e.counted},
+                               {"jain", e.jain},
+                               {"jain_by_chance", e.jain_by_chance},
+                               {"most", e.most},
+                               {"most_by_chance", e.most_by_chance},
+                               {"idle", e.idle}});
+  }
   for (const ClassOutcome& c : classes) {
     all["classes"][c.name] = {{"asked", c.asked},
                               {"delivered", c.delivered},
--- a/lab/result.h
+++ b/lab/result.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lab/auditor.h"
+#include "lab/evenness.h"
 #include "lab/scenario.h"
 
 namespace opalroute::lab {
@@ -95,6 +96,8 @@
   long events = 0;
   long notes = 0, note_bytes = 0;                 // between relays, by what was sent to each
   std::vector<long> endpoint_calls, relay_calls;  // by endpoint and by relay
+  long handshakes = 0;                            // connections that came up
+  EvenCount even;
   std::vector<StageChange> stage_changes;
   std::vector<Breach> breaches;
 
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -329,6 +329,7 @@
     return At(now() + told, {Kind::kBack, relay.number, number});
   }
   ++idle.busy;
+  if (!kept) tally_.Connected();
   At(now() + way + (kept ? 0 : 2 * way + s_.handshake), {Kind::kReach, relay.number, number});
 }
 
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -340,6 +340,7 @@
   if (!there) return Reset(fd);
   const bool crowded = Crowded(endpoint);
   if (!crowded && world_.endpoint(endpoint).connections > 0) ++taken_[endpoint];
+  if (!crowded) tally_.Connected();
   sessions_.Adopt(std::make_unique<Session>(*this, endpoint, relay, crowded), fd);
 }
 
--- a/lab/tally.cpp
+++ b/lab/tally.cpp
@@ -67,6 +67,7 @@
   };
   count(SecondAt(now).zone_calls, static_cast<std::size_t>(endpoint.zone));
   count(result_.endpoint_calls, id - 1);
+  result_.even.Call(now, endpoint.destination, id, endpoint.rating > 0 ? endpoint.rating : 1);
   count(result_.relay_calls, static_cast<std::size_t>(relay));
   ++result_.calls;
   Second& second = SecondAt(now);
--- a/lab/tally.h
+++ b/lab/tally.h
@@ -19,6 +19,7 @@
   void Refused(Seconds now);
   void Failed(Seconds now);
   void Call(Seconds now, int relay, EndpointId endpoint);
+  void Connected() { ++result_.handshakes; }  // a new connection has come up
   void Full(Seconds now);
   void AttemptEnded(Outcome outcome);
   void Sample(Seconds now);  // once a second: what the watched partner could do
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -6,6 +6,7 @@
 
 #include "config/fields.h"
 #include "lab/auditor.h"
+#include "lab/evenness.h"
 #include "lab/event_queue.h"
 #include "lab/simulation.h"
 #include "lab/statistics.h"
@@ -569,5 +570,30 @@
   CHECK(elsewhere == 0);
 }
 
+TEST_CASE("lab: evenness is told beside what chance alone gives") {
+  EvenCount even, skewed;
+  for (int second = 0; second < 20; ++second)
+    for (int call = 0; call < 90; ++call) {
+      even.Call(second + 0.5, 1, static_cast<EndpointId>(call % 3 + 1), 2);
+      skewed.Call(second + 0.5, 1, call % 9 < 6 ? 1U : static_cast<EndpointId>(call % 2 + 2), 1);
+    }
+  even.Call(3, 2, 9, 1);  // an endpoint alone says nothing
+  const Evenness e = even.Of(1), s = skewed.Of(10);
+  CHECK(e.counted == 20);
+  CHECK(e.jain == doctest::Approx(1));
+  CHECK(e.most == doctest::Approx(1));
+  CHECK(e.jain_by_chance < 0.99);  // of 90 draws among three
+  CHECK(e.jain_by_chance > 0.96);
+  CHECK(e.most_by_chance > 1.05);
+  CHECK(s.counted == 2);
+  CHECK(s.jain < 0.8);
+  CHECK(s.most == doctest::Approx(2));
+  CHECK(s.idle == 0);
+  // Parts count: twice as many calls for twice the part are even.
+  EvenCount parts;
+  for (int call = 0; call < 90; ++call) parts.Call(0.5, 1, call % 3 == 0 ? 1U : 2U, call % 3 == 0 ? 1 : 2);
+  CHECK(parts.Of(1).jain == doctest::Approx(1));
+}
+
 }  // namespace
 }  // namespace opalroute::lab
