--- a/src/zones/agreement.cpp
+++ b/src/zones/agreement.cpp
@@ -63,8 +63,8 @@
   return std::min(1 + static_cast<int>(std::ceil(rules_.quorum * parts)), rules_.most_quorum);
 }
 
-bool Agreement::Failing(Seconds now, int zone, double parts, Seconds control_since, bool moved) const {
-  const View v = Of(now, zone);
+bool Agreement::Failing(Seconds now, int zone, const View& v, double parts, Seconds control_since,
+                        bool moved) const {
   if (v.accusers < QuorumOf(parts) || v.vouchers > rules_.against * v.accusers) return false;
   if (v.bad_partners < rules_.least_partners || v.words < rules_.least_words) return false;
   if (v.wrong == Wrong::kSlow) return false;  // it serves; told, not left
@@ -81,8 +81,7 @@
   return false;  // all at once: that is no zone's trouble
 }
 
-bool Agreement::Contradicted(Seconds now, int zone) const {
-  const View v = Of(now, zone);
+bool Agreement::Contradicted(const View& v) const {
   return v.vouchers > 0 && v.vouchers > rules_.against * v.accusers;
 }
 
--- a/src/zones/agreement.h
+++ b/src/zones/agreement.h
@@ -60,9 +60,11 @@
   int QuorumOf(double parts) const;
   // The zone as a whole does not serve, though another one does: to relays whose calls there were sent
   // since `control_since`. `moved`: another zone has been left, and its load is here too.
-  bool Failing(Seconds now, int zone, double parts, Seconds control_since = -1e9, bool moved = false) const;
+  // `view`: of that zone, as of now.
+  bool Failing(Seconds now, int zone, const View& view, double parts, Seconds control_since = -1e9,
+               bool moved = false) const;
   // The same relays say otherwise: at least a quarter as many as accuse it are served there.
-  bool Contradicted(Seconds now, int zone) const;
+  bool Contradicted(const View& view) const;
 
  private:
   View Of(Seconds now, int zone, Seconds fresh) const;  // vouchers of that long
--- a/src/zones/member.cpp
+++ b/src/zones/member.cpp
@@ -224,9 +224,9 @@
       if (before.step == Step::kOut && live.empty()) live = tier_.Live(now);
       // Danger: where all zones fail at once the first to be accused has the others' past to stand against.
       const Seconds control_since = before.step == Step::kLeaving ? before.since - kControlBefore : -1e9;
-      const Stages::Facts facts{agreement_.Failing(now, zone, parts, control_since, IsAnotherLeft(zone)),
-                                agreement_.Contradicted(now, zone), evidence_.Of(now, zone), live,
-                                orders_.InForce(now, zone)};
+      const Stages::Facts facts{
+          agreement_.Failing(now, zone, view, parts, control_since, IsAnotherLeft(zone)),
+          agreement_.Contradicted(view), evidence_.Of(now, zone), live, orders_.InForce(now, zone)};
       if (stages_.Tick(now, zone, facts)) {
         out.changes.push_back({zone, before, stages_.Of(zone), view, false});
         // Whoever has not agreed by itself hears it. That a zone is being left is a question, and not spread.
