The test of an order by hand counts calls of partners that could go elsewhere

The test held the calls into the zone against the messages' share of partners that stand there alone plus 0.08 of all; their calls are more than their messages where they are at their limits, and 0.08 is two standard deviations of 320 calls. Ruled out: a relay that disobeys; all stages came in order in that run. Change: Tally counts calls of partners that stand in several zones (spared_calls in result.json); the tests compare their part before and while the zone is out, with a bound five deviations from either. Reports plot calls by zone and how many relays have left each.

--- a/lab/report/report.cpp
+++ b/lab/report/report.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <map>
 
 #include "config/fields.h"
 #include "lab/report/plot.h"
@@ -56,6 +57,39 @@
            {"failed", Points(seconds["failed"]), "lines lw 2 lc rgb '#d98c00' dt 2"}}};
 }
 
+// Calls into each zone, and how many relays have left it, where the times of their stages are known.
+Plot Zones(const json& result) {
+  const char* const colours[] = {"#1f4e9c", "#d98c00", "#14692f", "#6b3fa0", "#a3161f", "#555555"};
+  const json& calls = result["seconds"].value("zone_calls", json::array());
+  std::size_t zones = 0;
+  for (const json& second : calls) zones = std::max(zones, second.size());
+  Plot plot{"seconds", "calls a second", "", "", {}};
+  for (std::size_t zone = 0; zone < zones; ++zone) {
+    std::vector<std::pair<double, double>> points;
+    for (std::size_t second = 0; second < calls.size(); ++second)
+      points.emplace_back(second + 0.5, zone < calls[second].size() ? calls[second][zone].get<double>() : 0);
+    plot.series.push_back({"zone " + std::to_string(zone + 1), points,
+                           std::string("lines lw 2 lc rgb '") + colours[zone % 6] + "'"});
+  }
+  std::map<int, std::map<int, bool>> out;  // by zone, by relay
+  std::map<int, std::vector<std::pair<double, double>>> left;
+  for (const json& c : result.value("stages", json::array())) {
+    if (c["at_s"].get<double>() <= 0) continue;  // of real processes the order is known, and no time
+    const int zone = c["zone"].get<int>();
+    auto& relays = out[zone];
+    relays[c["relay"].get<int>()] = c["step"] == "out";
+    left[zone].emplace_back(
+        c["at_s"].get<double>(),
+        std::count_if(relays.begin(), relays.end(), [](const auto& relay) { return relay.second; }));
+  }
+  for (const auto& [zone, points] : left) {
+    plot.y2_label = "relays that have left it";
+    plot.series.push_back({"have left zone " + std::to_string(zone + 1), points,
+                           std::string("steps lw 1 dt 2 lc rgb '") + colours[zone % 6] + "'", true});
+  }
+  return plot;
+}
+
 Plot Partner(const json& result) {
   const json& seconds = result["seconds"];
   return {"seconds",
@@ -108,6 +142,7 @@
 const std::vector<Chart> kCharts = {
     {"flow", "Offered, delivered, refused", "By the second in which a message was due, or was refused.", Flow,
      false},
+    {"zones", "Calls by zone", "And how many relays have left each.", Zones, false},
     {"partner", "A partner's load against its capacity",
      "The busiest partner that a trouble strikes, or else the busiest of all.", Partner, false},
     {"latency", "Latency", "From when a message was due to its delivery; retries of its client are within.",
--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -133,6 +133,7 @@
     all["seconds"]["watched_capacity"].push_back(
         s.watched_capacity < 0 ? nlohmann::ordered_json() : nlohmann::ordered_json(s.watched_capacity));
     all["seconds"]["zone_calls"].push_back(s.zone_calls);
+    all["seconds"]["spared_calls"].push_back(s.spared_calls);
   }
   all["stages"] = nlohmann::json::array();
   for (const StageChange& c : stage_changes)
--- a/lab/result.h
+++ b/lab/result.h
@@ -37,6 +37,7 @@
   int offered = 0, delivered = 0, refused = 0, failed = 0;  // by when they were due, or ended
   int calls = 0, full = 0;
   std::vector<long> zone_calls;  // by zone
+  std::vector<long> spared_calls;  // by zone: of partners that stand in other zones too
   int watched_calls = 0;         // at the partner that is watched closely
   double watched_capacity = -1;  // calls that it could do, a second; below 0: nobody has looked
 };
--- a/lab/tally.cpp
+++ b/lab/tally.cpp
@@ -15,6 +15,10 @@
   result_.seconds.resize(static_cast<std::size_t>(std::ceil(s_.lasts)));
   for (const WorldPartner& partner : world.partners())
     result_.partners.push_back({static_cast<int>(partner.id), partner.share, partner.limit});
+  for (const WorldPartner& partner : world.partners())
+    elsewhere_.push_back(std::any_of(partner.endpoints.begin(), partner.endpoints.end(), [&](EndpointId id) {
+      return world.endpoint(id).zone != world.endpoint(partner.endpoints.front()).zone;
+    }));
   result_.watched = world.WatchedPartner();
 }
 
@@ -65,14 +69,15 @@
     if (counts.size() <= at) counts.resize(at + 1);
     ++counts[at];
   };
+  const auto partner = static_cast<std::size_t>(endpoint.destination - 1);
   count(SecondAt(now).zone_calls, static_cast<std::size_t>(endpoint.zone));
+  if (elsewhere_[partner]) count(SecondAt(now).spared_calls, static_cast<std::size_t>(endpoint.zone));
   count(result_.endpoint_calls, id - 1);
   result_.even.Call(now, endpoint.destination, id, endpoint.rating > 0 ? endpoint.rating : 1);
   count(result_.relay_calls, static_cast<std::size_t>(relay));
   ++result_.calls;
   Second& second = SecondAt(now);
   ++second.calls;
-  const auto partner = static_cast<std::size_t>(endpoint.destination - 1);
   ++result_.partners[partner].calls;
   if (static_cast<int>(partner) == result_.watched) ++second.watched_calls;
 }
--- a/lab/tally.h
+++ b/lab/tally.h
@@ -31,6 +31,7 @@
 
   World& world_;
   const Scenario& s_;
+  std::vector<bool> elsewhere_;  // by partner: it stands in several zones
   RunResult result_;
 };
 
--- a/tests/tier_processes_test.cpp
+++ b/tests/tier_processes_test.cpp
@@ -6,16 +6,20 @@
 #include <algorithm>
 #include <filesystem>
 #include <map>
+#include <numeric>
 
 #include "lab/sockets/play.h"
 #include "lab/sockets/post.h"
-#include "lab/world.h"
 
 namespace opalroute::lab {
 namespace {
 
 namespace fs = std::filesystem;
 
+// Of the part before, which is as far from what is seen while a zone is out (0.24 and 0.26 of it) as from all
+// of it, by five times what chance moves either.
+constexpr double kFallen = 0.6;
+
 class Folder {
  public:
   Folder()
@@ -61,41 +65,33 @@
   CHECK(r.notes > 1000);
 }
 
-// Calls from second to second: into zone 1, and into all.
-std::pair<long, long> CallsWithin(const RunResult& r, std::size_t from, std::size_t to) {
+// The part of the calls that go into zone 1, from second to second: of partners that stand in others too, as
+// what stands there alone is called there still.
+double PartWithin(const RunResult& r, std::size_t from, std::size_t to) {
   long into = 0, all = 0;
   for (std::size_t second = from; second < to; ++second) {
-    into += r.seconds[second].zone_calls.size() > 1 ? r.seconds[second].zone_calls[1] : 0;
-    all += r.seconds[second].calls;
+    const std::vector<long>& calls = r.seconds[second].spared_calls;
+    into += calls.size() > 1 ? calls[1] : 0;
+    all += std::accumulate(calls.begin(), calls.end(), 0L);
   }
-  return {into, all};
+  REQUIRE(all > 100);
+  return static_cast<double>(into) / static_cast<double>(all);
 }
 
 TEST_CASE(
     "processes: 24 of them leave a zone that is shut, and return, though six are killed and two frozen") {
   const RunResult r = Play("zone_processes");
   CheckOneLeft(r);
-  const auto [into, all] = CallsWithin(r, 8, 11);
-  CHECK(into * 4 < all);
+  CHECK(PartWithin(r, 8, 11) < kFallen * PartWithin(r, 1, 4));
 }
 
 TEST_CASE(
     "processes: 24 of them obey an operator's order that one was told, though it dies and four are cut off") {
   const RunResult r = Play("zone_orders");
   CheckOneLeft(r);
-  // What stands in that zone alone is still called there.
-  const World world(LoadScenario(std::string(SCENARIOS) + "/zone_orders.json"), 1);
-  double alone = 0;
-  for (const WorldPartner& p : world.partners())
-    if (std::all_of(p.endpoints.begin(), p.endpoints.end(),
-                    [&](EndpointId id) { return world.endpoint(id).zone == 1; }))
-      alone += p.share;
-  const auto [before, all_before] = CallsWithin(r, 1, 4);
-  const auto [into, all] = CallsWithin(r, 7, 9);
-  CHECK(static_cast<double>(into) < (alone + 0.08) * static_cast<double>(all));
-  CHECK(static_cast<double>(before) > (alone + 0.2) * static_cast<double>(all_before));
-  const auto [after, all_after] = CallsWithin(r, 20, 23);
-  CHECK(static_cast<double>(after) > (alone + 0.2) * static_cast<double>(all_after));
+  const double before = PartWithin(r, 1, 4);
+  CHECK(PartWithin(r, 7, 9) < kFallen * before);
+  CHECK(PartWithin(r, 20, 23) > kFallen * before);
 }
 
 // Two relays' sockets and the forwarder between them, in this process.
