300 processes play on six cores: peers by key, words of consequence kept, post by a thread

Seen by perf: 164 s of the relays' CPU in 34 s, a third of it FormatAddress in Relay::PeerAt, which compared a datagram's sender as text with up to 300 peers; and one thread passed on 30,000 notes a second beside everything else. A probe in Member::ReportIfDue: words about partners at their limits used up the reports that a failing zone needs. Change: peers are looked up by a key; reports stand in one array and go when they say nothing any more; an even part of 20 reports a second and an urgent budget in place of one with a floor; the forwarder has a thread; notes are counted by kind; reports of hundreds of processes plot the middle and the largest.

--- a/lab/report/report.cpp
+++ b/lab/report/report.cpp
@@ -13,6 +13,7 @@
 #include "config/fields.h"
 #include "lab/report/plot.h"
 #include "lab/report/report_template.h"
+#include "lab/statistics.h"
 
 namespace opalroute::lab {
 
@@ -120,7 +121,35 @@
   return plot;
 }
 
+// Of hundreds the middle one and the largest, second by second.
+Plot MemoryOfMany(const json& processes) {
+  Plot plot{"seconds", "MB resident", "descriptors", "", {}};
+  for (const char* key : {"rss_kb", "descriptors"}) {
+    const bool memory = key == std::string("rss_kb");
+    std::map<int, std::vector<double>> by_second;
+    for (const json& p : processes)
+      for (std::size_t i = 0; i < p["at_s"].size(); ++i)
+        by_second[static_cast<int>(p["at_s"][i].get<double>())].push_back(p[key][i].get<double>() /
+                                                                          (memory ? 1024 : 1));
+    Series middle{memory ? "middle, MB" : "middle, descriptors",
+                  {},
+                  memory ? "lines lw 2" : "lines lw 1 dt 2",
+                  !memory};
+    Series largest = middle;
+    largest.title.replace(0, 6, "largest");
+    for (auto& [second, values] : by_second) {
+      middle.points.emplace_back(second, Median(values));
+      largest.points.emplace_back(second, *std::max_element(values.begin(), values.end()));
+    }
+    plot.series.push_back(middle);
+    plot.series.push_back(largest);
+  }
+  return plot;
+}
+
 Plot Memory(const json& result) {
+  constexpr std::size_t kMostLines = 12;
+  if (result["processes"].size() > kMostLines) return MemoryOfMany(result["processes"]);
   Plot plot{"seconds", "MB resident", "descriptors", "", {}};
   int relay = 0;
   for (const json& p : result["processes"]) {
@@ -142,7 +171,7 @@
 const std::vector<Chart> kCharts = {
     {"flow", "Offered, delivered, refused", "By the second in which a message was due, or was refused.", Flow,
      false},
-    {"zones", "Calls by zone", "And how many relays have left each.", Zones, false},
+    {"zones", "Calls by zone", "And how many relays have left each, where that has a time.", Zones, false},
     {"partner", "A partner's load against its capacity",
      "The busiest partner that a trouble strikes, or else the busiest of all.", Partner, false},
     {"latency", "Latency", "From when a message was due to its delivery; retries of its client are within.",
--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -135,6 +135,7 @@
     all["seconds"]["zone_calls"].push_back(s.zone_calls);
     all["seconds"]["spared_calls"].push_back(s.spared_calls);
   }
+  all["notes_by_kind"] = notes_by_kind;
   all["stages"] = nlohmann::json::array();
   for (const StageChange& c : stage_changes)
     all["stages"].push_back({{"at_s", c.at},
--- a/lab/result.h
+++ b/lab/result.h
@@ -3,6 +3,7 @@
 
 #include <boost/histogram.hpp>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -36,10 +37,10 @@
 struct Second {
   int offered = 0, delivered = 0, refused = 0, failed = 0;  // by when they were due, or ended
   int calls = 0, full = 0;
-  std::vector<long> zone_calls;  // by zone
+  std::vector<long> zone_calls;    // by zone
   std::vector<long> spared_calls;  // by zone: of partners that stand in other zones too
-  int watched_calls = 0;         // at the partner that is watched closely
-  double watched_capacity = -1;  // calls that it could do, a second; below 0: nobody has looked
+  int watched_calls = 0;           // at the partner that is watched closely
+  double watched_capacity = -1;    // calls that it could do, a second; below 0: nobody has looked
 };
 
 struct ClassOutcome {
@@ -95,7 +96,9 @@
   long collapses = 0;
   long client_doubles = 0;  // keyed effects doubled by clients that came again after the window
   long events = 0;
-  long notes = 0, note_bytes = 0;                 // between relays, by what was sent to each
+  long notes = 0, note_bytes = 0;  // between relays, by what was sent to each
+  // Of those: "lanes" of the decision module, and the tier's kinds (tier::NoteKind). In simulated time only.
+  std::map<std::string, long> notes_by_kind;
   std::vector<long> endpoint_calls, relay_calls;  // by endpoint and by relay
   long handshakes = 0;                            // connections that came up
   EvenCount even;
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -11,7 +11,7 @@
 #include "lab/sockets/endpoints.h"
 #include "lab/sockets/front.h"
 #include "lab/sockets/ledger.h"
-#include "lab/sockets/post.h"
+#include "lab/sockets/post_thread.h"
 #include "lab/sockets/registry.h"
 #include "lab/sockets/relay_config.h"
 #include "lab/sockets/relay_process.h"
@@ -60,9 +60,7 @@
             loop_, world_, seed, [this](EndpointId id, int relay) { return endpoints_.AddressOf(id, relay); },
             *this),
         front_(loop_, scenario, traffic_, ledger_, seed) {
-    if (s_.notes)
-      post_ = std::make_unique<Post>(loop_, s_.relays, s_.links, seed,
-                                     [this] { return start_ > 0 ? loop_.Now() - start_ : 0; });
+    if (s_.notes) post_ = std::make_unique<PostThread>(s_.relays, s_.links, seed);
     tally_.result().played = "sockets";
     tally_.result().processes.resize(static_cast<std::size_t>(s_.relays));
     for (EndpointId id = 1; id <= world_.endpoint_count(); ++id)
@@ -85,6 +83,7 @@
   RunResult Play() {
     BringUp();
     start_ = loop_.Now() + 0.05;
+    if (post_) post_->Begin(start_);
     endpoints_.Begin(start_);
     registry_.Begin(start_);
     front_.Begin(start_);
@@ -273,6 +272,9 @@
     r.lateness_most = most_late_;
     r.answer_time = front_.answer_times();
     if (post_) {
+      post_->Stop();
+      r.lateness_p99 = std::max(r.lateness_p99, post_->lateness_p99());
+      r.lateness_most = std::max(r.lateness_most, post_->lateness_most());
       r.notes = post_->passed();
       r.note_bytes = post_->bytes();
     }
@@ -318,7 +320,7 @@
   Endpoints endpoints_;
   Registry registry_;
   Front front_;
-  std::unique_ptr<Post> post_;  // where relays may send one another datagrams
+  std::unique_ptr<PostThread> post_;  // where relays may send one another datagrams
   std::vector<std::unique_ptr<RelayProcess>> relays_;
   LatencyHistogram lateness_;
   Seconds most_late_ = 0;
--- a/lab/sockets/post.cpp
+++ b/lab/sockets/post.cpp
@@ -30,10 +30,6 @@
   return address;
 }
 
-bool Same(const sockaddr_in& a, const sockaddr_in& b) {
-  return a.sin_port == b.sin_port && a.sin_addr.s_addr == b.sin_addr.s_addr;
-}
-
 }  // namespace
 
 Post::Post(net::EventLoop& loop, int relays, const LinkPlan& links, std::uint64_t seed,
@@ -44,6 +40,7 @@
   there_.resize(count);
   for (int relay = 0; relay < relays; ++relay) {
     real_.push_back(FreeAddress(relay));
+    sender_by_address_[real_.back().sin_addr.s_addr] = relay;
     stand_.push_back(FreeAddress(relays + relay));
   }
   for (int relay = 0; relay < relays; ++relay) Tend(relay);
@@ -86,10 +83,10 @@
 }
 
 void Post::Pass(const sockaddr_in& from, int to, const std::string& bytes) {
-  int sender = 0;
-  while (sender < static_cast<int>(real_.size()) && !Same(real_[static_cast<std::size_t>(sender)], from))
-    ++sender;
-  if (sender == static_cast<int>(real_.size()) || sender == to) return;  // a stranger, or its own word
+  const auto known = sender_by_address_.find(from.sin_addr.s_addr);
+  if (known == sender_by_address_.end()) return;  // a stranger
+  const int sender = known->second;
+  if (from.sin_port != real_[static_cast<std::size_t>(sender)].sin_port || sender == to) return;
   std::weak_ptr<bool> alive = alive_;
   const Seconds now = now_();
   for (const Seconds when : links_.Arrivals(now, sender, to))
--- a/lab/tier_play.cpp
+++ b/lab/tier_play.cpp
@@ -18,6 +18,28 @@
   return rules;
 }
 
+namespace {
+
+const char* KindOf(const std::string& bytes) {
+  const auto note = tier::ReadNote(bytes);
+  if (!note) return "lanes";
+  switch (note->kind) {
+    case tier::NoteKind::kAsk:
+      return "ask";
+    case tier::NoteKind::kHello:
+      return "hello";
+    case tier::NoteKind::kAnswer:
+      return "answer";
+    case tier::NoteKind::kTold:
+      return "told";
+    case tier::NoteKind::kLeaving:
+      break;
+  }
+  return "leaving";
+}
+
+}  // namespace
+
 TierPlay::TierPlay(const Scenario& scenario, std::uint64_t seed, Host& host, Auditor& auditor,
                    RunResult& result)
     : s_(scenario),
@@ -93,6 +115,7 @@
 
 void TierPlay::Send(int from, int to, const std::shared_ptr<const std::string>& bytes) {
   ++result_.notes;
+  ++result_.notes_by_kind[KindOf(*bytes)];
   result_.note_bytes += static_cast<long>(bytes->size());
   for (const Seconds when : links_.Arrivals(host_.TierNow(), from, to)) {
     flying_[++last_note_] = {from, to, bytes};
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -10,5 +11,9 @@
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text);
 std::string FormatAddress(const sockaddr_in& address);
+// Address and port in one number, the same for equal ones: a key for look-ups.
+inline std::uint64_t KeyOf(const sockaddr_in& address) {
+  return static_cast<std::uint64_t>(address.sin_addr.s_addr) << 16 | address.sin_port;
+}
 
 }  // namespace opalroute::net
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -280,12 +280,13 @@
 // ---- peers -----------------------------------------------------------------------------------------
 
 std::optional<int> Relay::PeerAt(const sockaddr_in& address) const {
-  for (std::size_t i = 0; i < config_.peers.size(); ++i)
-    if (net::FormatAddress(config_.peers[i]) == net::FormatAddress(address)) return static_cast<int>(i);
-  return std::nullopt;
+  const auto it = peer_by_address_.find(net::KeyOf(address));
+  return it == peer_by_address_.end() ? std::nullopt : std::optional(it->second);
 }
 
 void Relay::ListenToPeers() {
+  for (std::size_t i = 0; i < config_.peers.size(); ++i)
+    peer_by_address_.emplace(net::KeyOf(config_.peers[i]), static_cast<int>(i));
   try {
     peers_ = std::make_unique<net::DatagramSocket>(
         loop_, *config_.peer_listen, config_.limits.datagram_bytes,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -119,6 +119,7 @@
   Discovery discovery_;
   Notices notices_;
   std::unique_ptr<net::DatagramSocket> peers_;
+  std::unordered_map<std::uint64_t, int> peer_by_address_;
   LearningHost learning_host_;
   std::unique_ptr<learning::Learning> learning_;
   std::unique_ptr<TierHost> tier_;  // off unless the operators' settings turn it on
--- a/src/zones/agreement.cpp
+++ b/src/zones/agreement.cpp
@@ -15,16 +15,19 @@
 void Agreement::Add(Seconds seen, tier::Peer from, std::uint64_t life, std::uint64_t number,
                     const Report& report) {
   if (report.size() != static_cast<std::size_t>(zones_)) return;
-  Kept& kept = reports_[from];
-  if (std::tie(life, number) <= std::tie(kept.life, kept.number)) return;
-  kept = {seen, life, number, report};
+  auto kept =
+      std::find_if(reports_.begin(), reports_.end(), [from](const Kept& k) { return k.from == from; });
+  if (kept == reports_.end()) kept = reports_.insert(kept, Kept{from, 0, 0, 0, {}});
+  if (std::tie(life, number) > std::tie(kept->life, kept->number)) *kept = {from, seen, life, number, report};
 }
 
-// Danger: the number of one that is forgotten is forgotten too: a replay would count. Notes are checked
-// before.
+// What is as old as this says nothing of anything any more. Danger: the number of one that is forgotten is
+// forgotten too: a replay would count. Notes are checked before.
 void Agreement::Forget(Seconds now) {
-  for (auto it = reports_.begin(); it != reports_.end();)
-    it = it->second.seen < now - 4 * ZoneReport::kLongestReported ? reports_.erase(it) : std::next(it);
+  const Seconds oldest = now - ZoneReport::kLongestReported;
+  reports_.erase(std::remove_if(reports_.begin(), reports_.end(),
+                                [oldest](const Kept& kept) { return kept.seen < oldest; }),
+                 reports_.end());
 }
 
 View Agreement::Of(Seconds now, int zone) const { return Of(now, zone, rules_.fresh, -1e9); }
@@ -33,7 +36,7 @@
   View view;
   std::uint32_t bad = 0, good = 0, served = 0, seen = 0;
   int by_wrong[6] = {};
-  for (const auto& [peer, kept] : reports_) {
+  for (const Kept& kept : reports_) {
     const ZoneReport& r = kept.report[static_cast<std::size_t>(zone)];
     const Seconds older = now - kept.seen;
     if (kept.seen < since) continue;
--- a/src/zones/agreement.h
+++ b/src/zones/agreement.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <vector>
 
 #include "tier/note.h"
@@ -70,13 +69,14 @@
   // Vouchers of that long, by reports that were made since then.
   View Of(Seconds now, int zone, Seconds fresh, Seconds since) const;
   struct Kept {
+    tier::Peer from = 0;
     Seconds seen = 0;
     std::uint64_t life = 0, number = 0;
     Report report;
   };
   const Rules rules_;
   const int zones_;
-  std::map<tier::Peer, Kept> reports_;
+  std::vector<Kept> reports_;  // one a relay, in no order; read many times a second
 };
 
 }  // namespace opalroute::zones
--- a/src/zones/member.cpp
+++ b/src/zones/member.cpp
@@ -22,7 +22,8 @@
       stages_(rules.stages, rules.zones, rules.tier.own),
       orders_(rules.zones),
       zones_(static_cast<std::size_t>(rules.zones)),
-      bucket_{2, now},
+      bucket_{kBurst, now},
+      urgent_{kBurst, now},
       parts_told_(rules.tier.size) {
   for (int zone = 0; kept.orders.size() == zones_.size() && zone < rules.zones; ++zone) {
     HandOrder order = kept.orders[static_cast<std::size_t>(zone)];
@@ -167,6 +168,29 @@
   return true;
 }
 
+// A zone is in question, or about to be.
+bool Member::IsUrgent(Seconds now) const {
+  if (HasStage()) return true;
+  const int quorum = agreement_.QuorumOf(rules_.tier.size);
+  for (int zone = 0; zone < rules_.zones; ++zone) {
+    const Step step = stages_.Of(zone).step;
+    if (step == Step::kLeaving) return true;
+    if (step != Step::kOut && HasNews(now, zone) && 2 * agreement_.Of(now, zone).accusers >= quorum)
+      return true;
+  }
+  return false;
+}
+
+// Danger: where some accuse a zone all day, words of no consequence would use up what is needed when it
+// fails. So those have an even part of the tier's rate, and what is urgent has a budget that they can't
+// touch.
+bool Member::MayReport(Seconds now) {
+  const double rate = std::clamp(rules_.reports_a_second / rules_.tier.size, 1.0 / 60, 4.0);
+  bucket_.Fill(now, rate, kBurst);
+  urgent_.Fill(now, rules_.urgent_a_second, kBurst);
+  return bucket_.tokens >= 1 || (urgent_.tokens >= 1 && IsUrgent(now));
+}
+
 void Member::ReportIfDue(Seconds now, Do& out) {
   if (report_at_ == kNever) {
     bool news = HasStage();
@@ -175,13 +199,10 @@
     report_at_ = now + rules_.heed * random_.Unit();
   }
   if (now < report_at_) return;
-  // A relay alone has an even part of all reports, and no less than one in some seconds.
-  const double rate = std::clamp(rules_.reports_a_second / rules_.tier.size, 0.2, 4.0);
-  bucket_.Fill(now, rate, 2);
-  if (bucket_.tokens < 1) return;
+  if (!MayReport(now)) return;
   report_at_ = kNever;
   if (SaidEnough(now) && !HasStage()) return;
-  bucket_.tokens -= 1;
+  if (!bucket_.Take()) urgent_.Take();
   for (int zone = 0; zone < rules_.zones; ++zone) {
     const Sight sight = evidence_.Of(now, zone);
     zones_[static_cast<std::size_t>(zone)].reported = std::max(sight.good_at, sight.bad_at);
--- a/src/zones/member.h
+++ b/src/zones/member.h
@@ -31,7 +31,8 @@
   bool leave = true;             // zones are left together
   Seconds heed = 0.15;           // a report waits up to this, and does not go if others have said enough
   int told_stage = 3;            // a new stage: so many others have told it
-  double reports_a_second = 20;  // of the whole tier, in the mean
+  double reports_a_second = 20;  // of the whole tier, in the mean, while nothing is in question; and ...
+  double urgent_a_second = 0.2;  // ... of each relay beyond that, once half a quorum accuses a zone
   Seconds grow_every = 0.5;      // parts grow no more often; they fall at once
   Seconds join_time = 0.3;       // a process that starts waits so long for the first word
 };
@@ -96,6 +97,7 @@
   static constexpr Seconds kTick = 0.05;
 
  private:
+  static constexpr double kBurst = 2;  // reports that may go at once
   struct Zone {
     Seconds reported = -1e9;  // the newest sight that has been told
     Seconds accused = -1e9;   // since then others accuse it, or it is being left
@@ -112,6 +114,8 @@
   bool HasNews(Seconds now, int zone) const;
   bool SaidEnough(Seconds now) const;
   bool HasStage() const;
+  bool IsUrgent(Seconds now) const;
+  bool MayReport(Seconds now);
   bool IsQuiet(Seconds now) const;
   void ReportIfDue(Seconds now, Do& out);
   void TellModule(Seconds now, Do& out);
@@ -129,7 +133,7 @@
   Stages stages_;
   Orders orders_;
   std::vector<Zone> zones_;
-  TokenBucket bucket_{2, 0};
+  TokenBucket bucket_{kBurst, 0}, urgent_{kBurst, 0};  // for reports
   Seconds report_at_ = kNever;
   std::uint64_t own_reports_ = 0;
   double parts_told_ = 0;
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -445,9 +445,9 @@
   const std::regex section("<section id=\"([a-z]+)\">");
   for (std::sregex_iterator it(page.begin(), page.end(), section), end; it != end; ++it)
     sections += (*it)[1].str() + " ";
-  CHECK(sections == "figures flow partner latency classes destinations breaches crashes ");
-  CHECK(CountOf(page, "<svg") == 6);
-  CHECK(CountOf(page, "</svg>") == 6);
+  CHECK(sections == "figures flow zones partner latency classes destinations breaches crashes ");
+  CHECK(CountOf(page, "<svg") == 8);
+  CHECK(CountOf(page, "</svg>") == 8);
   CHECK(CountOf(page, "in_wait") == 2);
   CHECK(page.find("sent to &lt;b&gt;2&lt;/b&gt; &amp; out") != std::string::npos);
   CHECK(page.find("the last &lt;line&gt;") != std::string::npos);
