The laboratory draws scripts of faults and plays them by the thousand: opalroute-lab scripts

Change: lab/script draws scenarios of 2 to 14 relays with kills, stops, freezes, cuts, lost notes, failing zones, drains and orders by hand; a command plays them on all cores and names those that break a rule; the tests play 200. Found by the third script: the simulation stood still for ever where a relay thawed between two steps of its clock (a call asked for the same moment again).

--- a/lab/experiments/experiments.h
+++ b/lab/experiments/experiments.h
@@ -2,6 +2,8 @@
 // status: 1 if what they claim does not hold.
 #pragma once
 
+#include <cstdint>
+
 namespace opalroute::lab {
 
 // Relays that start while their partner is shut, with and without learning, medians over seeds.
@@ -13,4 +15,7 @@
 // SRV beside the partner list, over so many replaced machines; what names and a large answer cost.
 int SrvTable(int changes);
 
+// So many scripts of faults (lab/script.h), the first drawn from that seed, so many at once.
+int ScriptTable(std::uint64_t first, int count, int jobs);
+
 }  // namespace opalroute::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -17,6 +17,7 @@
 #include "lab/experiments/compare.h"
 #include "lab/experiments/experiments.h"
 #include "lab/report/report.h"
+#include "lab/script.h"
 #include "lab/simulation.h"
 #include "lab/sockets/play.h"
 #include "lab/statistics.h"
@@ -294,6 +295,14 @@
   int changes = 200;
   CLI::App* srv = app.add_subcommand("srv", "measure SRV beside the partner list; exit status 1 if it fails");
   srv->add_option("--changes", changes, "machines replaced")->check(CLI::Range(1, 250));
+  int scripts = 1000;
+  bool print = false;
+  CLI::App* script =
+      app.add_subcommand("scripts", "play drawn scripts of faults; exit status 1 if one breaks a rule");
+  script->add_option("--seed", seed, "of the first");
+  script->add_option("--count", scripts)->check(CLI::Range(1, 1000000));
+  script->add_option("--jobs", jobs, "at once; else one a core")->check(CLI::Range(1, 256));
+  script->add_flag("--print", print, "the first one as a scenario's file, and play none");
   CLI::App* queues = app.add_subcommand("queues", "measure the event queues");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -307,6 +316,14 @@
       return *compare ? Compare({what, sets, build_a}, {other, sets, build_b}, order)
                       : Sweep({what, {}, {}}, key, values, order);
     }
+    if (*script && print) {
+      std::printf("%s\n", DrawScript(seed).dump(1).c_str());
+      return 0;
+    }
+    if (*script)
+      return ScriptTable(
+          seed, scripts,
+          jobs > 0 ? jobs : static_cast<int>(std::max(1U, std::thread::hardware_concurrency())));
     if (*learning) return LearningTable(seeds);
     if (*snapshot) return SnapshotTable(destinations, rounds);
     if (*srv) return SrvTable(changes);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -8,6 +8,7 @@
 #include "lab/auditor.h"
 #include "lab/evenness.h"
 #include "lab/event_queue.h"
+#include "lab/script.h"
 #include "lab/simulation.h"
 #include "lab/statistics.h"
 
@@ -564,6 +565,28 @@
   CHECK(elsewhere == 0);
 }
 
+// The first 200 of what `opalroute-lab scripts` plays by the thousand.
+TEST_CASE("lab: drawn scripts of faults break no rule, and each gives the same run again") {
+  long stages = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    const RunResult r = Simulation(ReadScenario(DrawScript(seed)), seed).Run();
+    for (const Breach& b : r.breaches) FAIL_CHECK(NameOf(b.kind), " ", b.at, " ", b.trace);
+    stages += static_cast<long>(r.stage_changes.size());
+  }
+  CHECK(stages > 1000);  // zones were left in many of them
+  const Scenario script = ReadScenario(nlohmann::json::parse(DrawScript(3).dump()));
+  CHECK(Simulation(script, 3).Run().ToJson() == Simulation(ReadScenario(DrawScript(3)), 3).Run().ToJson());
+}
+
+TEST_CASE("lab: a relay that is thawed between two steps of the clock goes on") {
+  nlohmann::json day = Small();
+  day["relay_faults"] = {{{"kind", "freeze"}, {"relay", 0}, {"at_s", 6.88}, {"down_s", 5.01}}};
+  const RunResult r = Simulation(ReadScenario(day), 1).Run();
+  CHECK(r.events < 1000000);
+  CHECK(r.breaches.empty());
+}
+
 TEST_CASE("lab: evenness is told beside what chance alone gives") {
   EvenCount even, skewed;
   for (int second = 0; second < 20; ++second)
