One key for addresses in the forwarder, one plain condition for words that are enough

The forwarder kept a key of its own beside net::KeyOf, and checked ports apart; SaidEnough wrote one condition twice; the format check had run the parts of a note's layout together. Change: these three, nothing else; behaviour stays.

--- a/lab/sockets/post.cpp
+++ b/lab/sockets/post.cpp
@@ -40,7 +40,7 @@
   there_.resize(count);
   for (int relay = 0; relay < relays; ++relay) {
     real_.push_back(FreeAddress(relay));
-    sender_by_address_[real_.back().sin_addr.s_addr] = relay;
+    sender_by_address_[net::KeyOf(real_.back())] = relay;
     stand_.push_back(FreeAddress(relays + relay));
   }
   for (int relay = 0; relay < relays; ++relay) Tend(relay);
@@ -83,10 +83,9 @@
 }
 
 void Post::Pass(const sockaddr_in& from, int to, const std::string& bytes) {
-  const auto known = sender_by_address_.find(from.sin_addr.s_addr);
-  if (known == sender_by_address_.end()) return;  // a stranger
+  const auto known = sender_by_address_.find(net::KeyOf(from));
+  if (known == sender_by_address_.end() || known->second == to) return;  // a stranger, or its own word
   const int sender = known->second;
-  if (from.sin_port != real_[static_cast<std::size_t>(sender)].sin_port || sender == to) return;
   std::weak_ptr<bool> alive = alive_;
   const Seconds now = now_();
   for (const Seconds when : links_.Arrivals(now, sender, to))
--- a/lab/sockets/post.h
+++ b/lab/sockets/post.h
@@ -40,7 +40,7 @@
   Links links_;
   const std::function<Seconds()> now_;
   std::vector<sockaddr_in> real_;                              // where relays listen
-  std::unordered_map<in_addr_t, int> sender_by_address_;       // each relay has an address of its own
+  std::unordered_map<std::uint64_t, int> sender_by_address_;   // by net::KeyOf of `real_`
   std::vector<sockaddr_in> stand_;                             // where others reach them
   std::vector<std::unique_ptr<net::DatagramSocket>> sockets_;  // at `stand_`; none: it refuses
   std::vector<bool> there_;
--- a/src/zones/codec.cpp
+++ b/src/zones/codec.cpp
@@ -15,8 +15,8 @@
 constexpr std::uint64_t kMostAge = 1'000'000;  // tenths
 constexpr int kMostRelapses = 31;
 constexpr std::uint64_t kHasReport = 1, kHasOrders = 2;
-constexpr int kKnownParts = 2,
-              kMostParts = 7;  // by bits of what follows; later ones are told with their length
+// Parts by their bits: a report, orders, and those of later builds, which are told with their length.
+constexpr int kKnownParts = 2, kMostParts = 7;
 
 void PutAge(std::string& bytes, Seconds age, Seconds most) {
   // Rounded down, so that nothing seems older than it is, however often it is passed on.
--- a/src/zones/codec.h
+++ b/src/zones/codec.h
@@ -3,9 +3,12 @@
 //
 //   count of zones, then for each: round, step and relapses, age in tenths of a second;
 //   bits of what follows: 1 a report, 2 orders; 4 to 64 are a later build's, each with its length before it,
-//   and are passed over by one that does not know them; report, for each zone: partners served, not served
-//   and known (four bytes each), ages in tenths, how they failed; orders, for each zone: 0, or number, the
-//   relay that was told, what, and what is left in tenths
+//   and are passed over by one that does not know them
+//
+//   report, for each zone: partners served, not served and known (four bytes each), ages in tenths, how they
+//   failed
+//
+//   orders, for each zone: 0, or number, the relay that was told, what, and what is left in tenths
 #pragma once
 
 #include <optional>
--- a/src/zones/member.cpp
+++ b/src/zones/member.cpp
@@ -162,8 +162,7 @@
     const View view = agreement_.Of(now, zone);
     const bool contradicted = view.vouchers > rules_.agreement.against * 2 * view.accusers;
     // Danger: with partners at their limits some accuse a zone all day. A few words on either side settle it.
-    if (evidence_.Of(now, zone).Accuses() ? view.accusers < 3 * quorum && !contradicted : !contradicted)
-      return false;
+    if (!contradicted && (view.accusers < 3 * quorum || !evidence_.Of(now, zone).Accuses())) return false;
   }
   return true;
 }
