A call of several messages is led by the one that waits longest: others were lost behind it

The relay counts such messages as delivered; the platform does not, and waits for a notice. Cause: ServerFlow::WriteBatch wrote members in the module's order, and stated the longest time. Change: the member that waits longest is written first, so that the call's time is the time that is stated.

--- a/src/relay/server_flow.cpp
+++ b/src/relay/server_flow.cpp
@@ -151,7 +151,7 @@
   begun_ = true;
   left_ = static_cast<int>(leave.size());
   batch_ = leave.size() > 1;
-  return batch_ ? WriteBatch() : WriteSingle(*leave.front());
+  return batch_ ? WriteBatch(std::move(leave)) : WriteSingle(*leave.front());
 }
 
 std::string ServerFlow::WriteSingle(const Member& m) const {
@@ -161,19 +161,20 @@
   return net::WriteRequest("POST", "/hook", headers, m.body);
 }
 
-std::string ServerFlow::WriteBatch() const {
+// Danger: the platform ends a call with the time of its first message, and what is answered after that is
+// late for all of them. So the first is the one that waits longest, and the time stated is its own.
+std::string ServerFlow::WriteBatch(std::vector<const Member*> members) const {
+  std::stable_sort(members.begin(), members.end(),
+                   [](const Member* a, const Member* b) { return a->until > b->until; });
   json items = json::array();
-  Seconds until = 0;
-  for (const Member& m : members_) {
-    if (!m.waits) continue;
-    items.push_back({{"id", m.id}, {"body", net::EncodeBase64(m.body)}});
-    if (!m.key.empty()) items.back()["key"] = m.key;
-    until = std::max(until, m.until);
+  for (const Member* m : members) {
+    items.push_back({{"id", m->id}, {"body", net::EncodeBase64(m->body)}});
+    if (!m->key.empty()) items.back()["key"] = m->key;
   }
   return net::WriteRequest("POST", "/hook/batch",
                            {{"Host", net::FormatAddress(to_)},
                             {"Content-Type", "application/json"},
-                            {"X-Remaining-Ms", Milliseconds(until - loop_.Now())}},
+                            {"X-Remaining-Ms", Milliseconds(members.front()->until - loop_.Now())}},
                            items.dump());
 }
 
--- a/src/relay/server_flow.h
+++ b/src/relay/server_flow.h
@@ -49,7 +49,7 @@
   bool Suffices(int status) const override { return status == 200 && !batch_; }
 
   std::string WriteSingle(const Member& member) const;
-  std::string WriteBatch() const;
+  std::string WriteBatch(std::vector<const Member*> members) const;
   void TakeStates(const net::HttpMessage& answer, Seconds wait);
   void Settle(Member& member, Outcome outcome, Seconds wait = 0, bool over = false);
   void SettleAll(Outcome outcome, Seconds wait = 0, bool over = false);
