--- /dev/null
+++ b/tests/judge_tests_test.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# tools/judge-tests lets a run pass only where each failed test is named in the list, and the list is sound: else a
+# failure could land unseen. Plays real runs of ctest over tests that pass and fail.
+set -u
+judge=$1 folder=$2 wrong=0
+rm -rf "$folder"
+mkdir -p "$folder"
+run() {  # run NAME...: those fail; good and fine pass
+  {
+    echo 'add_test(good true)'
+    echo 'add_test(fine true)'
+    for name in "$@"; do echo "add_test($name false)"; done
+  } >"$folder/CTestTestfile.cmake"
+  ctest --test-dir "$folder" >/dev/null 2>&1
+  ran=$?
+}
+expect() {  # expect pass|fail TEXT-THAT-IS-PRINTED LIST...
+  local want=$1 text=$2 got=pass
+  shift 2
+  printf '%s\n' "$@" >"$folder/list"
+  out=$("$judge" "$folder" "$ran" "$folder/list" 2>&1) || got=fail
+  if [ "$got" != "$want" ] || ! grep -qF -- "$text" <<<"$out"; then
+    echo "wanted $want with '$text' for the list '$*', got $got: $out"
+    wrong=1
+  fi
+}
+run
+expect pass ""
+expect pass "known red: good, flaky clock, issue 3" "good, flaky clock, issue 3"
+expect fail "no test 'gone'" "gone, cause, issue 3"
+run red
+expect fail "not known red: red"
+expect fail "not known red: red" "good, cause, issue 3"
+expect fail "no test 're'" "re, cause, issue 3"
+expect fail "wants 'test, cause, issue'" "red, cause"
+expect pass "failed, known red: red" "# a remark" "" "red, cause, with a comma, issue 3"
+run red redder
+expect fail "not known red: redder" "red, cause, issue 3"
+expect pass "failed, known red: redder" "red, cause, issue 3" "redder, cause, issue 3"
+run r1 r2 r3 r4
+expect fail "at most 3" "r1, c, i" "r2, c, i" "r3, c, i" "r4, c, i"
+expect fail "not known red: r4" "r1, c, i" "r2, c, i" "r3, c, i"
+run red
+ran=2  # a build that failed, with the log of an earlier run in place
+expect fail "" "red, cause, issue 3"
+exit $wrong
