--- a/src/pool/discovery.cpp
+++ b/src/pool/discovery.cpp
@@ -28,6 +28,16 @@
   return member;
 }
 
+// Whether more text could make an object of this.
+bool IsPartOfObject(const std::string& text) {
+  if (text[text.find_first_not_of(" \r\t\n")] != '{') return false;
+  try {
+    return json::parse(text).is_object();
+  } catch (const json::parse_error& error) {
+    return error.byte > text.size();  // nothing is wrong but its end
+  }
+}
+
 net::HttpBounds BoundsOf(const Limits& limits) {
   return {limits.head_bytes, limits.header_count, limits.list_bytes};
 }
@@ -120,7 +130,8 @@
 
 void Discovery::OnEnd(net::Connection&, net::Connection::End) { EndWatch("connection ended"); }
 
-// Lines may be cut anywhere between chunks. An empty one says that the watch still stands.
+// Lines may be cut anywhere between chunks. An empty one says that the watch still stands, and so does a
+// whole object; one that stays open does not.
 void Discovery::TakePiece(std::string_view piece) {
   if (parser_.message().status != 200) return;
   while (!piece.empty() && !broken_) {
@@ -129,15 +140,33 @@
     if (line_.size() > limits_.list_bytes) broken_ = true;
     if (end == std::string_view::npos) return;
     piece.remove_prefix(end + 1);
+    TakeLine();
+  }
+}
+
+// An object may come indented, over several lines. To look at the whole text with each line of it would cost
+// its square, so that is done where it may end, and each time it has doubled.
+void Discovery::TakeLine() {
+  const std::size_t last = line_.find_last_not_of(" \r\t\n");
+  const bool blank = last == std::string::npos;
+  json list;
+  if (!blank && line_[last] == '}') list = json::parse(line_, nullptr, false);
+  if (blank || list.is_object()) {
     Expect(limits_.watch_silence);
-    const std::string line = std::exchange(line_, {});
-    if (line.find_first_not_of(" \r\t") == std::string::npos) continue;
-    if (auto news = Read(line)) {
-      news_.push_back(std::move(*news));
-    } else {
-      broken_ = true;
-    }
+    line_.clear();
+    part_seen_ = 0;
+    if (blank) return;
+    auto news = ReadList(list);
+    broken_ = !news;
+    if (news) news_.push_back(std::move(*news));
+    return;
+  }
+  if (line_.size() >= 2 * part_seen_) {
+    broken_ = !IsPartOfObject(line_);
+    part_seen_ = line_.size();
+    if (broken_) log::Warn("pool_list_unreadable", {{"bytes", line_.size()}, {"why", "no JSON"}});
   }
+  line_ += '\n';
 }
 
 void Discovery::CloseWatch() {
@@ -146,6 +175,7 @@
   loop_.Retire(std::move(watch_));
   parser_.Reset();
   line_.clear();
+  part_seen_ = 0;
   news_.clear();
   broken_ = false;
 }
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -40,6 +40,7 @@
   void OnBroken(net::HttpClient::Broken how, int status) override;
 
   void TakePiece(std::string_view piece);
+  void TakeLine();
   void Expect(double within);
   void EndWatch(const char* why);
   void EndFetch(const char* why);
@@ -53,7 +54,8 @@
   std::optional<long long> generation_;
   std::unique_ptr<net::Connection> watch_;
   net::HttpParser parser_;
-  std::string line_;
+  std::string line_;            // an object that is not whole yet
+  std::size_t part_seen_ = 0;   // of it: so much was found to be a part of one
   std::vector<PoolNews> news_;  // read and not yet told
   bool broken_ = false;         // a line of this watch can't be read
   bool fetching_ = false;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -385,7 +385,7 @@
 TEST_CASE("operation: recorded exchanges") { PlayAll(fs::path(EXCHANGES) / "operation", 2); }
 
 // Bytes, ends and times that cross one another: each shows what is still owed at that instant, and to whom.
-TEST_CASE("crossings: recorded exchanges") { PlayAll(fs::path(EXCHANGES) / "crossings", 7); }
+TEST_CASE("crossings: recorded exchanges") { PlayAll(fs::path(EXCHANGES) / "crossings", 8); }
 
 }  // namespace
 }  // namespace opalroute
