Logs tell when and where the list is asked for, its generation, and why a call is or isn't sent

New, at info: pool_watch_opened, pool_news, pool_member_state; at debug: attempt_sent and attempt_not_sent with the reason, the list's generation and the age of its latest news, message_ended, client_rejected. Calls::WhyNotLeave names what Calls::MayLeave decided in one condition before; no decision changed.

--- a/src/pool/discovery.cpp
+++ b/src/pool/discovery.cpp
@@ -72,6 +72,7 @@
   PoolNews news;
   try {
     const auto generation = config::Get<long long>(list, "generation");
+    news.generation = generation;
     news.whole = config::GetOr(list, "reset", false);
     const json& rows = config::Need(list, "instances");
     if (!rows.is_array()) throw config::FieldError("field 'instances' is no array");
@@ -88,6 +89,7 @@
   CloseWatch();
   if (!on) return;
   watch_ = net::Connection::Connect(loop_, address_, *this, limits_.head_bytes, limits_.head_bytes);
+  log::Info("pool_watch_opened", {{"at", net::FormatAddress(address_)}, {"since", generation_.value_or(0)}});
   Expect(watch_ ? limits_.list_time : 0);
 }
 
@@ -181,7 +183,8 @@
 }
 
 void Discovery::EndWatch(const char* why) {
-  log::Warn("pool_watch_failed", {{"why", why}});
+  log::Warn("pool_watch_failed",
+            {{"why", why}, {"at", net::FormatAddress(address_)}, {"held", generation_.value_or(0)}});
   CloseWatch();
   listener_.OnPoolFailed();
 }
--- a/src/pool/pool_source.h
+++ b/src/pool/pool_source.h
@@ -21,6 +21,7 @@
   bool whole = false;   // else only what has changed
   bool of_list = true;  // else another source has spoken, and the list may not have come yet
   std::vector<PoolMember> members;
+  long long generation = 0;  // discovery's number of the list that this leads to; 0: none
 };
 
 class PoolSource {
--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -74,14 +74,38 @@
   flow->Start();
 }
 
+// A wait or a drain may have been told, or a key's window have ended, while it waited for its connection.
+// Returns the reason why the attempt may not leave any more, or null.
+const char* Calls::WhyNotLeave(const ServerFlow& flow, const ServerFlow::Member& member,
+                               const Transaction& t) const {
+  const Seconds now = loop_.Now();
+  if (t.over) return "the message is over";
+  if (member.until <= now) return "its time is up";
+  if (member.leave_by <= now) return "the window of its key is over";
+  if (!driver_.module().MayLeave(now, flow.endpoint())) return "the endpoint drains, is gone or told a wait";
+  return nullptr;
+}
+
+void Calls::LogChoice(const char* event, const ServerFlow& flow, const ServerFlow::Member& member,
+                      const char* why) const {
+  if (!log::Writes(log::Level::debug)) return;
+  const EndpointTable::ListVersion& list = endpoints_.version();
+  log::Debug(event, {{"id", member.id},
+                     {"attempt", member.attempt},
+                     {"endpoint", endpoints_.At(flow.endpoint()).id},
+                     {"why", why},
+                     {"generation", list.generation},
+                     {"news_age_ms", std::lround((loop_.Now() - list.at) * 1000)}});
+}
+
 bool Calls::MayLeave(const ServerFlow& flow, const ServerFlow::Member& member) {
   Transaction& t = transactions_.At(member.message);
-  // A wait or a drain may have been told, or a key's window have ended, while it waited for its connection.
-  if (t.over || member.until <= loop_.Now() || member.leave_by <= loop_.Now() ||
-      !driver_.module().MayLeave(loop_.Now(), flow.endpoint())) {
+  if (const char* why = WhyNotLeave(flow, member, t)) {
     ++counters_.not_left;
+    LogChoice("attempt_not_sent", flow, member, why);
     return false;
   }
+  LogChoice("attempt_sent", flow, member, "chosen");
   const EndpointTable::Endpoint& endpoint = endpoints_.At(flow.endpoint());
   JournalAttempt attempt;
   attempt.endpoint = endpoint.id;
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -44,7 +44,11 @@
   void OnServedLate(MessageId message) override;
   void OnFlowOver(ServerFlow& flow) override;
   void StartFlow(EndpointId endpoint, Batch members);
+  const char* WhyNotLeave(const ServerFlow& flow, const ServerFlow::Member& member,
+                          const Transaction& t) const;
   void Count(Outcome outcome);
+  void LogChoice(const char* event, const ServerFlow& flow, const ServerFlow::Member& member,
+                 const char* why) const;
 
   net::EventLoop& loop_;
   net::HttpClient& client_;
--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -10,6 +10,21 @@
 
 namespace opalroute {
 
+namespace {
+
+const char* NameOf(Listing listing) {
+  switch (listing) {
+    case Listing::kInService:
+      return "in_service";
+    case Listing::kDraining:
+      return "draining";
+    default:
+      return "gone";
+  }
+}
+
+}  // namespace
+
 EndpointTable::EndpointTable(net::EventLoop& loop, net::HttpClient& client, const Config& config,
                              Counters& counters)
     : loop_(loop), client_(client), config_(config), counters_(counters) {}
@@ -118,11 +133,20 @@
   }
   if (gone) Unlist(entry.endpoint);
   if (ever_listed_.size() < config_.limits.ids_remembered) ever_listed_.insert(member.id);
-  endpoint->told = entry;
+  const Listing state_before = std::exchange(endpoint->told, entry).listing;
+  if (state_before != entry.listing) LogState(*endpoint, state_before);
   update.entries.push_back(WithBan(*endpoint));
   return entry.endpoint;
 }
 
+void EndpointTable::LogState(const Endpoint& endpoint, Listing before) const {
+  log::Info("pool_member_state", {{"endpoint", endpoint.id},
+                                  {"destination", endpoint.destination},
+                                  {"before", NameOf(before)},
+                                  {"state", NameOf(endpoint.told.listing)},
+                                  {"generation", version_.generation}});
+}
+
 ListEntry EndpointTable::WithBan(const Endpoint& endpoint) const {
   ListEntry entry = endpoint.told;
   if (entry.listing != Listing::kGone && banned_.count(endpoint.id) > 0) entry.listing = Listing::kDraining;
@@ -152,6 +176,7 @@
 ListUpdate EndpointTable::Apply(const PoolNews& news, ListScope scope) {
   ListUpdate update;
   update.scope = scope;
+  if (news.of_list) version_ = {news.generation, loop_.Now()};
   std::set<EndpointId> named;
   for (const PoolMember& member : news.members)
     if (const auto id = Place(member, update)) named.insert(*id);
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -22,6 +22,13 @@
 
 class EndpointTable {
  public:
+  // The list as it is held: its generation, and when the latest news of it was read (seconds, the loop's
+  // clock).
+  struct ListVersion {
+    long long generation = 0;
+    Seconds at = 0;
+  };
+
   struct Endpoint {
     std::string id;
     int zone = 0, kind = 0;
@@ -50,6 +57,7 @@
   const Endpoint& At(EndpointId id) const { return endpoints_.at(id); }
   net::Peer PeerOf(EndpointId id) const { return {endpoints_.at(id).address, id}; }
   bool Serves(DestinationId destination) const { return destinations_.count(destination) > 0; }
+  const ListVersion& version() const { return version_; }
   bool empty() const { return destinations_.empty(); }
   // The listed endpoints, in the form of JoinedPool's, where the list is the only source.
   nlohmann::ordered_json Print() const;
@@ -68,6 +76,7 @@
   std::optional<EndpointId> Place(const PoolMember& member, ListUpdate& update);
   ListEntry WithBan(const Endpoint& endpoint) const;  // what the module is told of it
   void Unlist(EndpointId id);
+  void LogState(const Endpoint& endpoint, Listing before) const;
 
   net::EventLoop& loop_;
   net::HttpClient& client_;
@@ -76,6 +85,7 @@
   std::unordered_map<std::string, EndpointId> ids_;
   std::unordered_map<EndpointId, Endpoint> endpoints_;
   EndpointId last_ = 0;
+  ListVersion version_;
   std::set<EndpointId> unlisted_;  // not forgotten yet: calls may be out there, and the module may know them
   std::map<DestinationId, Served> destinations_;
   std::set<std::string> banned_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -246,6 +246,9 @@
 
 void Relay::OnPoolNews(const PoolNews& news) {
   ++counters_.pool_news;
+  if (news.of_list)
+    log::Info("pool_news",
+              {{"generation", news.generation}, {"whole", news.whole}, {"members", news.members.size()}});
   if (news.of_list && !std::exchange(list_is_current_, true))
     log::Info("pool_current", {{"members", news.members.size()}, {"whole", news.whole}});
   driver_.Post(endpoints_.Apply(news, news.whole ? ListScope::kWhole : ListScope::kChanges));
@@ -485,6 +488,11 @@
   const bool failed = outcome == std::string_view("given_up");
   ++(failed ? counters_.given_up : counters_.handed_back);
   ++(failed ? of.bad_gateway : of.dropped);
+  if (log::Writes(log::Level::debug))
+    log::Debug("message_ended", {{"id", t->id},
+                                 {"outcome", outcome},
+                                 {"attempts", t->journaled.size()},
+                                 {"left_ms", std::lround((t->deadline - loop_.Now()) * 1000)}});
   const std::string line = NoticeLine(t->id, outcome, wait);
   transactions_.EndWith(*t, line);
   notices_.Add(t->id, line);
--- a/src/relay/virtual_server.cpp
+++ b/src/relay/virtual_server.cpp
@@ -105,6 +105,8 @@
 
 net::HttpAnswer VirtualServer::Reject(int message_class, const char* why) {
   ++counters_.Of(message_class).dropped;
+  if (log::Writes(log::Level::debug))
+    log::Debug("client_rejected", {{"class", config_.classes[message_class]}, {"why", why}});
   net::HttpAnswer answer = net::PlainAnswer(503, why);
   answer.headers.emplace_back("Retry-After", net::WriteSeconds(config_.limits.reject_wait));
   return answer;
