Tries to renew the endpoint list overlap within the terms; no failure puts the next one off

Cause of the drain incident: a relay was bound to a change 4 s after SIGHUP or 6 s after discovery had it, but nothing in it kept that time.

Change: EndpointListLease (src/decisions, pure) says when the next try is due: at once after a move, a quarter of the 4 s apart (up to 2 s in a large fleet), also beside a watch whose heartbeat is late. Discovery keeps up to three watches open; the first that brings the list stays (pool/list_watch, pool/list_reader taken out of it). News of bans and DNS no longer count as news of the list. An older line is passed over, an older whole list takes no drain or removal back. FetchList and Discovery::Fetch, used by nothing, are gone.

In exchanges a second watch may now stand in discovery's queue: 'accept PLACE METHOD' takes the one that is meant.

--- a/include/opalroute/rules.h
+++ b/include/opalroute/rules.h
@@ -74,6 +74,11 @@
   Seconds longest_wait{};  // the longest advice that a client heeds
   Seconds tick{};
   Seconds ask_within{};
+  // The endpoint list: a change binds so long after discovery had it, or after discovery has moved, whether
+  // or not it has arrived; a watch brings a line at least every `list_heartbeat` (0: its end is always told).
+  Seconds list_told_within = 6;
+  Seconds list_told_after_move = 4;
+  Seconds list_heartbeat = 0;
   Seconds drain_grace = 2;  // from hearing that an endpoint drains or went to the last new call (rule 3)
   Seconds overload_for{};
   double overload_factor{};
@@ -112,8 +117,15 @@
 struct ListUpdate {
   ListScope scope{};
   std::vector<ListEntry> entries;
+  bool of_discovery =
+      true;  // else from another source (operators, DNS), which says nothing of the list's age
 };
 
+// The watch has brought a line that names no change: the list is still current.
+struct ListConfirmed {};
+// Discovery is somewhere else now, and its watch has to be opened there.
+struct ListMoved {};
+
 struct NewMessage {
   MessageId message{};
   int message_class{};
@@ -213,8 +225,9 @@
   std::vector<Belief> beliefs;
 };
 
-using Event = std::variant<ListUpdate, NewMessage, Restored, AttemptOutcome, AnswerBegun, ProbeOutcome,
-                           Withdrawn, PeerNote, Learned, TierSize, ZoneShare, Wake, Stopping, TurnEnd>;
+using Event =
+    std::variant<ListUpdate, ListConfirmed, ListMoved, NewMessage, Restored, AttemptOutcome, AnswerBegun,
+                 ProbeOutcome, Withdrawn, PeerNote, Learned, TierSize, ZoneShare, Wake, Stopping, TurnEnd>;
 
 // ---- actions -------------------------------------------------------------------------------
 
@@ -244,10 +257,10 @@
   Seconds at{};
   std::uint64_t label{};
 };
+// Opens a watch on the list. One that is open or being opened goes on until another one has brought the list.
 struct WatchList {
   bool on{};
 };
-struct FetchList {};
 struct CloseConnections {
   EndpointId endpoint{};
 };
@@ -259,8 +272,8 @@
   std::string text;
 };
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, SetWake, WatchList, FetchList,
-                            CloseConnections, TellPeers, Log>;
+using Action =
+    std::variant<Send, Refuse, Fail, Cancel, Probe, SetWake, WatchList, CloseConnections, TellPeers, Log>;
 
 // ---- the courier ---------------------------------------------------------------------------
 
--- a/src/cli/pool.cpp
+++ b/src/cli/pool.cpp
@@ -7,9 +7,9 @@
 
 #include "cli/page.h"
 #include "net/address.h"
-#include "net/http_client.h"
-#include "pool/discovery.h"
+#include "net/event_loop.h"
 #include "pool/joined_pool.h"
+#include "pool/list_reader.h"
 
 namespace opalroute::cli {
 
@@ -29,9 +29,7 @@
   const net::SystemClock clock;
   net::EventLoop loop(clock);
   Nobody nobody;
-  net::HttpClient client(loop, net::ClientBounds{});
-  Discovery reader(loop, client, config.discovery, config.limits, nobody);
-  const auto known = config.known.is_null() ? std::nullopt : reader.ReadList(config.known);
+  const auto known = config.known.is_null() ? std::nullopt : ReadPoolList(config.known);
   JoinedPool pool(loop, config, settings, nobody);
   pool.Remembered(known.value_or(PoolNews{true, true, {}}));
   for (const net::Seconds ends = loop.Now() + kTime; pool.unheard() > 0 && loop.Now() < ends;)
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -84,6 +84,7 @@
   if (idle <= 0) throw FieldError("key 'settings.limits.connIdleS' must be above 0");
   limits.upstream_idle = idle - std::min(1.0, idle / 4);  // never written to when it is about to be closed
   limits.open_transactions = config.settings.room;
+  config.settings.list_heartbeat = limits.watch_heartbeat;
   limits.learn_file_bytes = std::min(limits.learn_file_bytes, limits.disk_bytes / 20);
   config.may_tell_peers = GetOr(site, "peers", false);
   config.own_peer = GetOr(settings, "me", -1);
@@ -93,8 +94,6 @@
   Collector faults;
   faults.In("key 'settings': ", [&] {
     faults.Try([&] { config.settings = ParseSettings(settings, seed); });
-    // The module's backoff after a failed watch is a part of this, also where nothing demands to ask.
-    if (config.settings.ask_within <= 0) config.settings.ask_within = 10;
     faults.Try([&] { config.classes = NamesIn(settings, "classes", "name"); });
     faults.Try([&] { config.tenants = NamesIn(settings, "realms", "name"); });
     faults.Try([&] { config.zones = NamesIn(settings, "zones", nullptr); });
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -37,8 +37,10 @@
   // the state folder
   std::size_t disk_bytes = 3'000'000;
   // discovery and notices
-  double list_time = 3;          // for the head of a watch's answer, or for a whole list
-  double watch_silence = 3.5;    // a line comes every 2 s: then the watch is dead
+  double watch_heartbeat = 2;    // a watch in order brings a line at least so often
+  double watch_silence = 3.5;    // without a line: then the watch is dead
+  double list_time = 3;          // for the first line of a watch
+  std::size_t watch_tries = 3;   // watches open at once, the one that has brought the list among them
   double notice_time = 0.2;      // for the answer to notices, doubled like the backoff ...
   double notice_time_most = 1;   // ... up to this, which is also the time for a connection to come up
   double notice_backoff = 0.05;  // doubled with each failure in a row ...
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -1,65 +1,49 @@
-// The pool's list from discovery: a watch that stays open, and the whole list on demand.
+// The endpoint list from discovery over HTTP: a watch that stays open, and tries to replace it that may run
+// beside it. Whichever brings the list first is the watch from then on, and the others are closed.
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include <netinet/in.h>
+
+#include <memory>
 #include <optional>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "config/limits.h"
-#include "net/connection.h"
-#include "net/http.h"
-#include "net/http_client.h"
+#include "net/event_loop.h"
+#include "pool/list_watch.h"
 #include "pool/pool_source.h"
 
 namespace opalroute {
 
-class Discovery : public PoolSource, private net::Connection::Owner, private net::HttpClient::Call {
+class Discovery : public PoolSource, private ListWatch::Handler {
  public:
-  Discovery(net::EventLoop& loop, net::HttpClient& client, const sockaddr_in& address, const Limits& limits,
-            Listener& listener);
+  Discovery(net::EventLoop& loop, const sockaddr_in& address, const Limits& limits, Listener& listener);
+
   ~Discovery() override;
 
+  // The relay holds the list of this generation, from an earlier process: changes are asked for since then.
+  void Resume(long long generation) { generation_ = since_ = generation; }
   void Watch(bool on) override;
-  void Fetch() override;
 
-  // From now on discovery is there; what is asked for is asked again. Its list need not continue the old one.
+  // From now on discovery is there: watches and tries at the old address end. Its list need not continue the
+  // old one. The caller begins the next try.
   void MoveTo(const sockaddr_in& address);
 
-  // One list or line of changes in discovery's form. None: it can't be read; the reason is logged.
-  std::optional<PoolNews> Read(std::string_view text);
-  std::optional<PoolNews> ReadList(const nlohmann::json& list);
-
  private:
-  void OnOpen(net::Connection& connection) override;
-  void OnData(net::Connection& connection) override;
-  void OnEnd(net::Connection& connection, net::Connection::End how) override;
-  std::string OnReady() override;
-  void OnAnswer(net::HttpMessage& answer) override;
-  void OnBroken(net::HttpClient::Broken how, int status) override;
+  void OnWatchNews(ListWatch& watch, const PoolNews& news) override;
+  void OnWatchAlive(ListWatch& watch) override;
+  void OnWatchEnd(ListWatch& watch, const char* why) override;
 
-  void TakePiece(std::string_view piece);
-  void TakeLine();
-  void Expect(double within);
-  void EndWatch(const char* why);
-  void EndFetch(const char* why);
-  void CloseWatch();
+  void CloseAllBut(const ListWatch* kept);
 
   net::EventLoop& loop_;
-  net::HttpClient& client_;
   sockaddr_in address_;
   const Limits& limits_;
   Listener& listener_;
-  std::optional<long long> generation_;
-  std::unique_ptr<net::Connection> watch_;
-  net::HttpParser parser_;
-  std::string line_;            // an object that is not whole yet
-  std::size_t part_seen_ = 0;   // of it: so much was found to be a part of one
-  std::vector<PoolNews> news_;  // read and not yet told
-  bool broken_ = false;         // a line of this watch can't be read
-  bool fetching_ = false;
-  net::EventLoop::TimerId watch_timer_ = 0, fetch_timer_ = 0;
+  std::optional<long long> generation_;              // of the list that was told last
+  std::optional<long long> since_;                   // the generation from which changes are asked for
+  std::vector<std::unique_ptr<ListWatch>> watches_;  // in the order in which they were opened
+  const ListWatch* standing_ = nullptr;              // the one of them that has brought the list
 };
 
 }  // namespace opalroute
--- a/src/pool/joined_pool.cpp
+++ b/src/pool/joined_pool.cpp
@@ -56,7 +56,13 @@
 
 PoolNews JoinedPool::Remembered(const PoolNews& list) { return merge_.OnList(loop_.Now(), list); }
 
-void JoinedPool::OnPoolNews(const PoolNews& news) { listener_.OnPoolNews(merge_.OnList(loop_.Now(), news)); }
+void JoinedPool::OnPoolNews(const PoolNews& news) {
+  PoolNews joined = merge_.OnList(loop_.Now(), news);
+  joined.generation = news.generation;
+  joined.older = news.older;
+  listener_.OnPoolNews(joined);
+}
+
 void JoinedPool::OnPoolFailed() { listener_.OnPoolFailed(); }
 
 void JoinedPool::Pass(PoolNews news) {
--- a/src/pool/joined_pool.h
+++ b/src/pool/joined_pool.h
@@ -26,6 +26,7 @@
   PoolNews Remembered(const PoolNews& list);
 
   void OnPoolNews(const PoolNews& news) override;
+  void OnPoolConfirmed() override { listener_.OnPoolConfirmed(); }
   void OnPoolFailed() override;
 
   std::size_t unheard() const { return source_.unheard(); }  // names that have not been answered yet
--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -88,8 +88,18 @@
   }
 }
 
-// Returns the endpoint that the list names, if it is of use.
-std::optional<EndpointId> EndpointTable::Place(const PoolMember& member, ListUpdate& update) {
+bool EndpointTable::HasLeft(const std::string& id) const { return WasListed(id) && !FindListed(id); }
+
+bool EndpointTable::Drains(const std::string& id) const {
+  const auto listed = FindListed(id);
+  return listed && endpoints_.at(*listed).told.listing == Listing::kDraining;
+}
+
+// Returns the endpoint that the list names, if it is of use. Danger: an older list knows nothing of a drain
+// or a removal that was told since, and the grace of those has begun.
+std::optional<EndpointId> EndpointTable::Place(PoolMember member, bool older, ListUpdate& update) {
+  if (older && HasLeft(member.id)) return std::nullopt;
+  if (older && Drains(member.id)) member.state = PoolMember::State::kDraining;
   const bool gone = member.state == PoolMember::State::kGone;
   if (gone && ids_.count(member.id) == 0) return std::nullopt;
   ListEntry entry;
@@ -156,6 +166,7 @@
 ListUpdate EndpointTable::Ban(const std::set<std::string>& ids) {
   ListUpdate update;
   update.scope = ListScope::kChanges;
+  update.of_discovery = false;
   const std::set<std::string> before = std::exchange(banned_, ids);
   for (const auto& [id, endpoint] : endpoints_) {
     const bool banned = ids.count(endpoint.id) > 0;
@@ -176,10 +187,11 @@
 ListUpdate EndpointTable::Apply(const PoolNews& news, ListScope scope) {
   ListUpdate update;
   update.scope = scope;
+  update.of_discovery = news.of_list;
   if (news.of_list) version_ = {news.generation, loop_.Now()};
   std::set<EndpointId> named;
   for (const PoolMember& member : news.members)
-    if (const auto id = Place(member, update)) named.insert(*id);
+    if (const auto id = Place(member, news.older, update)) named.insert(*id);
   if (scope != ListScope::kChanges) {
     std::vector<EndpointId> unnamed;
     for (const auto& [id, endpoint] : endpoints_)
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -73,7 +73,9 @@
     int endpoints = 0;    // listed
     Seconds left_at = 0;  // the last one of them
   };
-  std::optional<EndpointId> Place(const PoolMember& member, ListUpdate& update);
+  std::optional<EndpointId> Place(PoolMember member, bool older, ListUpdate& update);
+  bool HasLeft(const std::string& id) const;
+  bool Drains(const std::string& id) const;
   ListEntry WithBan(const Endpoint& endpoint) const;  // what the module is told of it
   void Unlist(EndpointId id);
   void LogState(const Endpoint& endpoint, Listing before) const;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -10,6 +10,7 @@
 
 #include "log/log.h"
 #include "net/address.h"
+#include "pool/list_reader.h"
 
 namespace opalroute {
 
@@ -98,7 +99,7 @@
                   ? nullptr
                   : std::make_unique<JoinedPool>(loop, config, settings,
                                                  static_cast<PoolSource::Listener&>(*this))),
-      discovery_(loop, platform_client_, config.discovery, config.limits,
+      discovery_(loop, config.discovery, config.limits,
                  joined_ ? static_cast<PoolSource::Listener&>(*joined_) : *this),
       notices_(loop, platform_client_, config.discovery, config.limits,
                [this](const std::string& id) {
@@ -128,7 +129,8 @@
     waits_ = std::make_unique<operation::SharedWaits>(config.state_folder, seats_.own(), seats_.other(),
                                                       config.limits.shared_waits);
   endpoints_.Ban(bans_.ids());  // before the list: not one call
-  const auto known = config.known.is_null() ? std::nullopt : discovery_.ReadList(config.known);
+  const auto known = config.known.is_null() ? std::nullopt : ReadPoolList(config.known);
+  if (known) discovery_.Resume(known->generation);
   const PoolNews list = known.value_or(PoolNews{true, true, {}});
   driver_.Post(endpoints_.Apply(joined_ ? joined_->Remembered(list) : list, ListScope::kRemembered));
   // Before what an earlier process had taken on is sent: the partners may be down still.
@@ -138,8 +140,6 @@
     });
   if (settings.tier.on()) JoinTier();
   Restore();
-  // Where changes are said to come by themselves the module asks for none; over HTTP a watch brings them.
-  if (!config.settings.ask_for_list) discovery_.Watch(true);
   ready_ = !endpoints_.empty();
   if (config.inherited_fd >= 0) PollState();
   if (config.ops)
@@ -259,7 +259,7 @@
 
 void Relay::OnPoolFailed() {
   ++counters_.pool_failures;
-  driver_.Post(ListUpdate{ListScope::kRefused, {}});
+  driver_.Post(ListUpdate{ListScope::kRefused, {}, true});
 }
 
 void Relay::Reload(const std::function<Config()>& read) {
@@ -273,6 +273,7 @@
     log::Info("reload_done", {{"discovery", to}, {"before", from}});
     discovery_at_ = fresh.discovery;
     discovery_.MoveTo(fresh.discovery);
+    driver_.Post(ListMoved{});
     notices_.MoveTo(fresh.discovery);
   } catch (const std::exception& error) {
     ++counters_.reload_failures;
@@ -458,8 +459,6 @@
       driver_.WakeAt(*wake);
     } else if (const auto* watch = std::get_if<WatchList>(&action)) {
       discovery_.Watch(watch->on);
-    } else if (std::holds_alternative<FetchList>(action)) {
-      discovery_.Fetch();
     } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
       endpoints_client_.CloseIdle(endpoints_.PeerOf(close->endpoint));
     } else if (const auto* tell = std::get_if<opalroute::TellPeers>(&action)) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -76,6 +76,7 @@
   void SendNote(std::optional<int> peer, const std::string& bytes) override { TellPeers({peer, bytes}); }
   // PoolSource::Listener
   void OnPoolNews(const PoolNews& news) override;
+  void OnPoolConfirmed() override { driver_.Post(ListConfirmed{}); }
   void OnPoolFailed() override;
   // operation::Operated
   bool TakesClients() const override { return Ready(); }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <utility>
 
+#include "decisions/endpoint_list_lease.h"
 #include "lane_note.h"
 #include "parts.h"
 
@@ -40,10 +41,9 @@
 constexpr double kReclaimAfter = 1.5;  // patiences after which a call is thought lost
 constexpr double kRoomKept = 0.05;     // of the room: kept free for newcomers
 constexpr double kJitter = 0.25;       // either way, of every wait of our own
-constexpr double kAskSpread = 0.05;  // seconds for each courier: asked in step, discovery is idle in between
-constexpr int kKeepers = 8;          // couriers that may all keep idle connections: a table is hardly smaller
-constexpr double kCrowdedFor = 4;    // ramp_times after one was turned away: connections go when unused
-constexpr double kWayKept = 0.1;     // of a key's window, at most: kept for a repeat's way, else a usual call
+constexpr int kKeepers = 8;         // couriers that may all keep idle connections: a table is hardly smaller
+constexpr double kCrowdedFor = 4;   // ramp_times after one was turned away: connections go when unused
+constexpr double kWayKept = 0.1;    // of a key's window, at most: kept for a repeat's way, else a usual call
 constexpr double kStopSpread = 2;   // usual latencies before the process ends: later a call is likely cut off
 constexpr double kScouts = 3;       // couriers that try a zone that all have left
 constexpr double kTenantBurst = 4;  // seconds of a tenant's allowance that may come at once
@@ -94,7 +94,7 @@
 
 class Courier::Impl {
  public:
-  explicit Impl(const Settings& settings) : s_(settings), random_(settings.seed) {
+  explicit Impl(const Settings& settings) : s_(settings), random_(settings.seed), list_lease_(settings) {
     for (const MessageClass& c : s_.classes) longest_aim_ = std::max(longest_aim_, c.aim);
     least_limit_.assign(s_.kinds.size(), kNever);
     for (const Tenant& tenant : s_.tenants)
@@ -130,16 +130,9 @@
   // ---- the list of endpoints ---------------------------------------------------------------
 
   void On(const ListUpdate& update) {
-    if (update.scope == ListScope::kRefused) {
-      const Seconds least = std::max(s_.ask_within / 20, AskSpread() / 2);
-      ask_backoff_ = std::min(s_.ask_within / 2, std::max(least, ask_backoff_ * 2));
-      ask_at_ = now_ + ask_backoff_ * 2 * random_.Unit();  // no two rounds in step
-      return;
-    }
-    const bool first = update.scope == ListScope::kRemembered && s_.ask_for_list;
-    if (first && s_.couriers <= kKeepers) actions_->push_back(WatchList{true});
-    if (first && s_.couriers > kKeepers) ask_at_ = now_ + AskSpread() * random_.Unit();
-    ask_backoff_ = 0;
+    if (update.of_discovery) list_lease_.Heed(update.scope, now_);
+    if (update.scope == ListScope::kRemembered) RenewList();
+    if (update.scope == ListScope::kRefused) return;
     for (auto& [id, endpoint] : endpoints_) {  // what a whole list does not name is gone
       if (update.scope == ListScope::kChanges) break;
       endpoint.listing = Listing::kGone;
@@ -148,8 +141,18 @@
     for (const ListEntry& entry : update.entries) Place(entry);
   }
 
-  // Danger: told or not, a drain binds some seconds after discovery has it. No spread may outlast its grace.
-  Seconds AskSpread() const { return std::min(s_.drain_grace, kAskSpread * s_.couriers); }
+  void On(const ListConfirmed&) { list_lease_.Confirm(now_); }
+  void On(const ListMoved&) {
+    list_lease_.Moved(now_);
+    RenewList();
+  }
+
+  void RenewList() {
+    if (list_lease_.TakeDueTry(now_)) actions_->push_back(WatchList{true});
+    if (const auto expired = list_lease_.TakeChange(now_))
+      actions_->push_back(Log{*expired ? "endpoint list not confirmed in time, the one held serves on"
+                                       : "endpoint list is current again"});
+  }
 
   void Place(const ListEntry& entry) {
     auto [it, fresh] = endpoints_.try_emplace(entry.endpoint);
@@ -359,8 +362,7 @@
   // ---- turn end: what can leave now leaves ----------------------------------------------------
 
   void On(const TurnEnd&) {
-    if (now_ >= std::exchange(ask_at_, now_ >= ask_at_ ? kNever : ask_at_))
-      actions_->push_back(WatchList{true});
+    RenewList();
     while (!key_rests_.empty() && key_rests_.begin()->first <= now_) {
       const std::string key = key_rests_.begin()->second;
       key_rests_.erase(key_rests_.begin());
@@ -377,7 +379,7 @@
     Seconds wake = Dispatch();
     TendEndpoints(wake);
     CloseUnused();
-    wake = std::min(wake, ask_at_);
+    wake = std::min(wake, list_lease_.next_try());
     if (!key_rests_.empty()) wake = std::min(wake, key_rests_.begin()->first);
     for (const Line* due : {&delayed_, &expiries_})
       if (!due->empty()) wake = std::min(wake, due->begin()->first);
@@ -1051,7 +1053,8 @@
   double parts_ = std::max(1, s_.couriers);  // that limits are shared by, as far as is known
   std::map<int, ZoneShare> zones_;
   int held_ = 0;
-  Seconds ask_backoff_ = 0, ask_at_ = kNever, armed_ = -kNever, stop_at_ = kNever;
+  EndpointListLease list_lease_;
+  Seconds armed_ = -kNever, stop_at_ = kNever;
   std::uint64_t last_call_ = 0, wake_label_ = 0;
 };
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -214,8 +214,6 @@
     out = {{"type", "SET_TIMER"}, {"dueAtS", wake->at}, {"label", wake->label}};
   } else if (const auto* watch = std::get_if<WatchList>(&action)) {
     out = {{"type", "STREAM_CHANGES"}, {"active", watch->on}};
-  } else if (std::holds_alternative<FetchList>(action)) {
-    out = {{"type", "QUERY_ALL"}};
   } else if (const auto* close = std::get_if<CloseConnections>(&action)) {
     out = {{"type", "DISCONNECT"}, {"endpoint", place(close->endpoint)}};
   } else if (const auto* tell = std::get_if<TellPeers>(&action)) {
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -14,6 +14,9 @@
 //   jump MS                     the same in one leap, with one round of the loop behind it
 //   NAME connect [door]         a client connects, or an operator's caller
 //   NAME accept PLACE           PLACE (an endpoint's id, or `discovery`) takes a connection
+//   NAME accept PLACE METHOD    the same, of those that stand the first that brings a request of this method;
+//                               those before it stay open, and hear nothing
+//   NAME accepted PLACE         the same as accept, and the connection stands already: no time passes
 //   NAME refuse                 the endpoint NAME listens no more
 //   NAME < TEXT                 sends a line; \ at its end: without CR LF; escapes: \r \n \0 \xHH; @PLACE@ is
 //                               the address that PLACE listens at
@@ -277,6 +280,21 @@
     }
   }
 
+  // Any connection, or the first that brings a request of this method; a watch that has been closed is none.
+  Peer Accepted(const std::string& place, const std::string& method) {
+    for (;;) {
+      int fd = -1;
+      REQUIRE(
+          Until([&] { return (fd = accept4(listeners_.at(place), nullptr, nullptr, SOCK_NONBLOCK)) >= 0; }));
+      Peer peer = Opened(fd);
+      if (method.empty()) return peer;
+      REQUIRE(Until([&] { return Receive(peer), peer.ended || peer.in.size() > method.size(); }));
+      const bool closed_watch = method == "GET" && peer.ended;
+      if (!closed_watch && peer.in.compare(0, method.size(), method) == 0) return peer;
+      peers_["passed over " + std::to_string(fd)] = peer;
+    }
+  }
+
   void ExpectLine(Peer& peer, const std::string& text) {
     Until([&] {
       Receive(peer);
@@ -295,13 +313,19 @@
       peers_[name] = Connected(text == "door" ? relay_->door()->address() : relay_->address());
       return;
     }
-    if (verb == "accept") {
-      int fd = -1;
-      REQUIRE(
-          Until([&] { return (fd = accept4(listeners_.at(text), nullptr, nullptr, SOCK_NONBLOCK)) >= 0; }));
+    if (verb == "accepted") {
+      const int fd = accept4(listeners_.at(text), nullptr, nullptr, SOCK_NONBLOCK);
+      REQUIRE(fd >= 0);
       peers_[name] = Opened(fd);
       return;
     }
+    if (verb == "accept") {
+      std::istringstream words(text);
+      std::string place, method;
+      words >> place >> method;
+      peers_[name] = Accepted(place, method);
+      return;
+    }
     if (verb == "refuse") {
       close(listeners_.at(name));
       listeners_.erase(name);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -681,6 +681,28 @@
   EXPECT_EQ(All<WatchList>().size(), 2U);
 }
 
+// A ban by hand, or what DNS says, is news of endpoints and none of the list's age.
+TEST_F(RulesTest, NewsOfAnotherSourceDoesNotStandForTheList) {
+  Settings s = TestSettings();
+  s.ask_for_list = true;
+  s.list_heartbeat = 2;
+  Start(s);
+  List({Entry(1, 1)}, ListScope::kRemembered);
+  EndTurn();
+  for (int i = 0; i < 10; ++i) {
+    RunTo(now_ + 0.5);
+    Play(ListUpdate{ListScope::kChanges, {}, false});
+  }
+  EXPECT_GE(All<WatchList>().size(), 4U);
+  EXPECT_EQ(All<Log>().size(), 0U);
+  RunTo(now_ + 2);
+  ASSERT_EQ(All<Log>().size(), 1U);
+  EXPECT_EQ(All<Log>()[0].text, "endpoint list not confirmed in time, the one held serves on");
+  Play(ListConfirmed{});
+  EndTurn();
+  EXPECT_EQ(All<Log>().size(), 2U);
+}
+
 TEST_F(RulesTest, UnknownOutcomesAndEndsArePassedOver) {
   List({Entry(1, 1)});
   Tell(77, 0, 1, Outcome::kServed);
