--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <system_error>
+#include <thread>
 
 #include "net/framing.h"
 
@@ -24,6 +26,8 @@
 constexpr double kKeptPart = 0.43;  // ... and nothing more is attempted
 constexpr double kFilePart = 0.55;  // of the disk: a file that has grown to this is compacted
 constexpr std::size_t kBlock = 512;
+constexpr int kReadRetries = 100;                    // at the start, of reads that fail ...
+constexpr std::chrono::milliseconds kReadPause(10);  // ... with so long in between
 
 void PutNumber(std::string& record, std::uint64_t number) {
   char bytes[8];
@@ -103,10 +107,10 @@
   return record;
 }
 
-bool WriteAll(int fd, const std::string& bytes) {
+bool WriteAll(int fd, const std::string& bytes, std::size_t at) {
   std::size_t done = 0;
   while (done < bytes.size()) {
-    const ssize_t count = write(fd, bytes.data() + done, bytes.size() - done);
+    const ssize_t count = pwrite(fd, bytes.data() + done, bytes.size() - done, static_cast<off_t>(at + done));
     if (count < 0 && errno == EINTR) continue;
     if (count <= 0) return false;
     done += static_cast<std::size_t>(count);
@@ -114,14 +118,20 @@
   return true;
 }
 
+// Danger: a read that fails is not the end of the file. To go on as if it were would cut off what is owed.
 std::string ReadAll(int fd) {
   std::string bytes;
   char piece[65536];
-  for (;;) {
-    const ssize_t count = read(fd, piece, sizeof(piece));
-    if (count < 0 && errno == EINTR) continue;
-    if (count <= 0) return bytes;
-    bytes.append(piece, static_cast<std::size_t>(count));
+  for (int failures = 0;;) {
+    const ssize_t count = pread(fd, piece, sizeof(piece), static_cast<off_t>(bytes.size()));
+    if (count == 0) return bytes;
+    if (count > 0) {
+      bytes.append(piece, static_cast<std::size_t>(count));
+      continue;
+    }
+    if (errno == EINTR) continue;
+    if (++failures > kReadRetries) throw std::system_error(errno, std::generic_category(), "journal");
+    std::this_thread::sleep_for(kReadPause);
   }
 }
 
@@ -148,10 +158,9 @@
     good += read.size;
   }
   lost_bytes_ = bytes.size() - good;
-  // Danger: records appended behind a torn one would never be read again.
-  if (ftruncate(fd_, static_cast<off_t>(good)) < 0 || lseek(fd_, static_cast<off_t>(good), SEEK_SET) < 0)
-    throw std::system_error(errno, std::generic_category(), "journal");
   file_bytes_ = good;
+  torn_ = lost_bytes_ > 0;
+  CutTornRecord();
 }
 
 JournalEntry* Journal::Find(const std::string& id) {
@@ -270,20 +279,37 @@
 
 bool Journal::End(const std::string& id) {
   const JournalEntry* entry = Find(id);
-  if (entry == nullptr || !Write(Begin(Type::kEnd, id))) return false;
+  if (entry == nullptr) return false;
+  const std::string record = Begin(Type::kEnd, id);
+  const bool written = Write(record);
+  if (!written) overdue_ends_.push_back(record);
   Erase(*entry);
-  return true;
+  return written;
 }
 
 bool Journal::EndWith(const std::string& id, const std::string& notice) {
   JournalEntry* entry = Find(id);
-  if (entry == nullptr || !Write(EndWithRecord(id, notice))) return false;
+  if (entry == nullptr) return false;
+  const std::string record = EndWithRecord(id, notice);
+  const bool written = Write(record);
+  if (!written) overdue_ends_.push_back(record);
   entry->notice = notice;
-  return true;
+  return written;
 }
 
 bool Journal::Write(const std::string& record) {
-  return record.size() <= kLongestRecord && WriteFrames(Frame(record));
+  return record.size() <= kLongestRecord && WriteOverdueEnds() && WriteFrames(Frame(record));
+}
+
+// In their order, before anything else. Danger: an id whose end is not written could be taken on anew, and
+// the late end would end the new message.
+bool Journal::WriteOverdueEnds() {
+  while (!overdue_ends_.empty()) {
+    const std::string record = overdue_ends_.front();
+    if (!WriteFrames(Frame(record))) return false;
+    if (!overdue_ends_.empty()) overdue_ends_.erase(overdue_ends_.begin());  // else compaction took them all
+  }
+  return true;
 }
 
 std::vector<std::uint64_t> Journal::TakeOver(Journal& other) {
@@ -303,24 +329,30 @@
 
 // Nothing is owed: all that its records say has ended.
 void Journal::Clear() {
-  if (ftruncate(fd_, 0) < 0 || lseek(fd_, 0, SEEK_SET) < 0) return;
+  if (!overdue_ends_.empty() || ftruncate(fd_, 0) < 0) return;
   file_bytes_ = 0;
 }
 
 bool Journal::WriteFrames(const std::string& bytes) {
   const auto grown = static_cast<std::size_t>(kFilePart * static_cast<double>(disk_bytes_));
   if (file_bytes_ + bytes.size() > grown) Compact();
-  if (file_bytes_ + bytes.size() > disk_bytes_) return false;
-  if (!WriteAll(fd_, bytes)) {
-    // A torn record must not stand before the next one.
-    if (ftruncate(fd_, static_cast<off_t>(file_bytes_)) == 0)
-      lseek(fd_, static_cast<off_t>(file_bytes_), SEEK_SET);
+  if (file_bytes_ + bytes.size() > disk_bytes_ || !CutTornRecord()) return false;
+  if (!WriteAll(fd_, bytes, file_bytes_)) {
+    torn_ = true;
+    CutTornRecord();
     return false;
   }
   file_bytes_ += bytes.size();
   return true;
 }
 
+// Danger: records appended behind a torn one would never be read again; and where a shorter one is written
+// over it, the rest of its bytes, which a client may have chosen, could be read as a record.
+bool Journal::CutTornRecord() {
+  if (torn_ && ftruncate(fd_, static_cast<off_t>(file_bytes_)) == 0) torn_ = false;
+  return !torn_;
+}
+
 std::string Journal::RecordsOf(const JournalEntry& e) {
   if (!e.notice.empty()) {  // only the notice is still owed
     JournalEntry ended;
@@ -344,13 +376,15 @@
   const std::string fresh = path() + ".new";
   const int fd = open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0) return false;
-  if (!WriteAll(fd, bytes) || rename(fresh.c_str(), path().c_str()) < 0) {
+  if (!WriteAll(fd, bytes, 0) || rename(fresh.c_str(), path().c_str()) < 0) {
     close(fd);
     unlink(fresh.c_str());
     return false;
   }
   close(fd_);
   fd_ = fd;
+  torn_ = false;
+  overdue_ends_.clear();  // what they end is not in the new file, and the notices of the others are
   file_bytes_ = bytes.size();
   return true;
 }
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -1,8 +1,9 @@
 // What the relay has taken on, in a folder that outlives the process.
 //
 // Append-only records, each with its length and a checksum. What a write call has taken survives the end of
-// the process, so nothing is synced. When the file has grown, the records that still matter go to a new file
-// that takes its place; both count for the disk while that is done, so the budget leaves room for both.
+// the process, so nothing is synced; it does not survive the loss of power, nor of the machine. When the file
+// has grown, the records that still matter go to a new file that takes its place; both count for the disk
+// while that is done, so the budget leaves room for both.
 #pragma once
 
 #include <cstddef>
@@ -31,7 +32,8 @@
 class Journal {
  public:
   // Reads what an earlier process left. Records after a torn or damaged one are given up and cut off.
-  // Throws std::system_error if the folder can't be used.
+  // Throws std::system_error if the folder can't be used, or the file can't be read for kReadPatience: what
+  // is owed there is not given up for an error that may pass, and the file stays as it is.
   // `file` is its name there; disk_bytes bounds it and its compaction together.
   Journal(const std::string& folder, std::size_t disk_bytes, std::string file = "journal");
   ~Journal();
@@ -41,7 +43,8 @@
   const std::map<std::uint64_t, JournalEntry>& entries() const { return entries_; }  // in the order taken
   std::size_t lost_bytes() const { return lost_bytes_; }
 
-  // Each returns whether it is written. An end always finds room, whatever else does not.
+  // Each returns whether it is written. An end always finds room, whatever else does not. An end or a notice
+  // that can't be written is kept, and written before the next record.
   bool TakeOn(const JournalEntry& entry);
   bool Attempt(const std::string& id, const JournalAttempt& attempt);
   bool NeverRan(const std::string& id, std::size_t attempt);
@@ -64,6 +67,8 @@
   void Erase(const JournalEntry& entry);
   bool Apply(const std::string& record);
   bool Write(const std::string& record);
+  bool WriteOverdueEnds();
+  bool CutTornRecord();
   bool Compact();
   void Clear();
   static std::string RecordsOf(const JournalEntry& entry);
@@ -74,6 +79,8 @@
   std::size_t disk_bytes_;
   int fd_ = -1;
   std::size_t file_bytes_ = 0, kept_bytes_ = 0, lost_bytes_ = 0;
+  bool torn_ = false;  // bytes of a record that was not written whole stand behind file_bytes_
+  std::vector<std::string> overdue_ends_;  // records of ends that could not be written
   std::uint64_t last_ = 0;
   std::map<std::uint64_t, JournalEntry> entries_;
   std::unordered_map<std::string, std::uint64_t> numbers_;
--- a/src/relay/transaction_table.cpp
+++ b/src/relay/transaction_table.cpp
@@ -1,7 +1,11 @@
 #include "relay/transaction_table.h"
 
+#include <cerrno>
+#include <cstring>
 #include <utility>
 
+#include "log/log.h"
+
 namespace opalroute {
 
 TransactionTable::TransactionTable(net::EventLoop& loop, const Config& config, Counters& counters,
@@ -24,6 +28,13 @@
   return transactions_[message] = std::move(transaction);
 }
 
+void TransactionTable::Recorded(bool written) {
+  if (!written) ++counters_.journal_failures;
+  if (std::exchange(journal_fails_, !written) == !written) return;
+  if (written) return log::Info("journal_writes_again", {{"failures", counters_.journal_failures}});
+  log::Error("journal_write_failed", {{"why", std::strerror(errno)}, {"open", open_}});
+}
+
 MessageId TransactionTable::TakeOn(ClientRequest&& request) {
   JournalEntry entry;
   entry.id = request.id;
--- a/src/relay/transaction_table.h
+++ b/src/relay/transaction_table.h
@@ -52,9 +52,7 @@
 
  private:
   Transaction& Add(MessageId message, Transaction&& transaction);
-  void Recorded(bool written) {
-    if (!written) ++counters_.journal_failures;
-  }
+  void Recorded(bool written);  // counts, and logs where that has changed
 
   net::EventLoop& loop_;
   const Config& config_;
@@ -64,6 +62,7 @@
   std::map<MessageId, Transaction> transactions_;
   std::unordered_map<std::string, MessageId> names_;
   int open_ = 0;
+  bool journal_fails_ = false;
 };
 
 }  // namespace opalroute
--- /dev/null
+++ b/tests/journal_faults_test.cpp
@@ -0,0 +1,263 @@
+// The journal on a disk whose calls fail for a while, or write a part: what was taken on is still owed, what
+// has ended has ended, and what is written after the trouble is read again.
+#include <doctest/doctest.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <system_error>
+#include <utility>
+
+#include "journal/journal.h"
+
+namespace {
+
+// So many calls pass, then so many fail; a write that fails may have written some bytes before.
+struct Faults {
+  int passes = 0, failures = 0;
+  int error = 0;
+  std::size_t partly = 0;  // bytes that a failing write leaves in the file
+
+  bool Strikes() {
+    if (passes > 0) {
+      --passes;
+      return false;
+    }
+    if (failures == 0) return false;
+    --failures;
+    return true;
+  }
+  void Plan(int after, int count, int with, std::size_t part = 0) {
+    passes = after;
+    failures = count;
+    error = with;
+    partly = part;
+  }
+};
+
+Faults reads, writes, cuts;
+constexpr int kForEver = std::numeric_limits<int>::max();
+
+int Fail(int error) {
+  errno = error;
+  return -1;
+}
+
+}  // namespace
+
+// In place of the C library's, for this executable alone.
+extern "C" {
+
+ssize_t pread(int fd, void* to, size_t size, off_t at) {
+  if (reads.Strikes()) return Fail(reads.error);
+  return syscall(SYS_pread64, fd, to, size, at);
+}
+
+ssize_t pwrite(int fd, const void* from, size_t size, off_t at) {
+  if (!writes.Strikes()) return syscall(SYS_pwrite64, fd, from, size, at);
+  if (writes.partly == 0) return Fail(writes.error);
+  return syscall(SYS_pwrite64, fd, from, std::min(size, std::exchange(writes.partly, 0)), at);
+}
+
+int ftruncate(int fd, off_t size) noexcept {
+  if (cuts.Strikes()) return Fail(cuts.error);
+  return static_cast<int>(syscall(SYS_ftruncate, fd, size));
+}
+
+}  // extern "C"
+
+namespace opalroute {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t kDisk = 3'000'000;
+
+class Folder {
+ public:
+  Folder() : path_(fs::temp_directory_path() / ("opalroute-journal-faults-" + std::to_string(getpid()))) {
+    fs::remove_all(path_);
+    fs::create_directories(path_);
+  }
+  ~Folder() { fs::remove_all(path_); }
+  std::string path() const { return path_.string(); }
+  std::string Bytes() const {
+    std::ifstream file(path_ / "journal", std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
+
+ private:
+  const fs::path path_;
+};
+
+struct NoFaults {
+  ~NoFaults() { reads = writes = cuts = Faults{}; }
+};
+
+JournalEntry Message(const std::string& id, std::size_t size = 40) {
+  JournalEntry entry;
+  entry.id = id;
+  entry.message_class = "payment";
+  entry.body = std::string(size, 'b');
+  entry.destination = 7;
+  entry.deadline = 5'000'000;
+  return entry;
+}
+
+std::set<std::string> Owed(const Journal& journal) {
+  std::set<std::string> ids;
+  for (const auto& [number, entry] : journal.entries()) ids.insert(entry.id);
+  return ids;
+}
+
+TEST_CASE("reads that fail for a while lose nothing") {
+  for (const int error : {EIO, EINTR, EAGAIN}) {
+    for (const int failures : {1, 3, 30}) {
+      const Folder folder;
+      const NoFaults after;
+      {
+        Journal journal(folder.path(), kDisk);
+        for (const char* id : {"a", "b", "c", "d", "e"}) REQUIRE(journal.TakeOn(Message(id, 30'000)));
+      }
+      const std::string before = folder.Bytes();
+      for (const int passes : {0, 1, 2}) {  // the first piece of the file, one in its midst, the end
+        reads.Plan(passes, failures, error);
+        const Journal journal(folder.path(), kDisk);
+        CHECK(Owed(journal).size() == 5);
+        CHECK(journal.lost_bytes() == 0);
+        CHECK(folder.Bytes() == before);
+      }
+    }
+  }
+}
+
+TEST_CASE("a file that can't be read at all refuses the start, and stays as it is") {
+  const Folder folder;
+  const NoFaults after;
+  { REQUIRE(Journal(folder.path(), kDisk).TakeOn(Message("a"))); }
+  const std::string before = folder.Bytes();
+  reads.Plan(0, kForEver, EIO);
+  CHECK_THROWS_AS(Journal(folder.path(), kDisk), std::system_error);
+  reads = Faults{};
+  CHECK(folder.Bytes() == before);
+  CHECK(Owed(Journal(folder.path(), kDisk)).size() == 1);
+}
+
+// What a relay does with five messages, and what it must owe afterwards: a message that was taken on and has
+// not ended, and no other.
+class Script {
+ public:
+  explicit Script(Journal& journal) : journal_(journal) {}
+  void Play() {
+    Take("a");
+    Take("b");
+    Try("a");
+    End("a");
+    Take("c");
+    EndWithNotice("b");
+    Try("c");
+    End("b");
+    Take("d");
+    Take("a");  // its name once more, after its end
+    End("d");
+    Take("e");
+  }
+  const std::set<std::string>& owed() const { return owed_; }
+
+ private:
+  void Take(const std::string& id) {
+    if (journal_.TakeOn(Message(id))) owed_.insert(id);
+  }
+  void Try(const std::string& id) {
+    if (owed_.count(id) > 0) journal_.Attempt(id, {"e1", "ground", 17, true});
+  }
+  void EndWithNotice(const std::string& id) {
+    if (owed_.count(id) > 0) journal_.EndWith(id, "notice");
+  }
+  void End(const std::string& id) {
+    if (owed_.erase(id) > 0) journal_.End(id);
+  }
+
+  Journal& journal_;
+  std::set<std::string> owed_;
+};
+
+// Each write of the script fails in turn, once or more often, whole or after some bytes, and so do the cuts
+// that would take those bytes back. Then the disk is well, one more message comes, and the process is killed.
+TEST_CASE("writes that fail at any place leave what is owed, and nothing that has ended") {
+  int played = 0;
+  for (int passes = 0; passes < 14; ++passes)
+    for (const int failures : {1, 2, 5})
+      for (const std::size_t part : {0, 1, 20, 60})
+        for (const int cuts_failing : {0, 1, 4}) {
+          CAPTURE(passes);
+          CAPTURE(failures);
+          CAPTURE(part);
+          CAPTURE(cuts_failing);
+          const Folder folder;
+          const NoFaults after;
+          std::set<std::string> owed;
+          {
+            Journal journal(folder.path(), kDisk);
+            Script script(journal);
+            writes.Plan(passes, failures, part > 0 ? ENOSPC : EIO, part);
+            cuts.Plan(0, cuts_failing, EIO);
+            script.Play();
+            writes = cuts = Faults{};
+            owed = script.owed();
+            REQUIRE(journal.TakeOn(Message("last")));
+            owed.insert("last");
+            CHECK(Owed(journal) == owed);
+          }
+          const Journal again(folder.path(), kDisk);
+          CHECK(Owed(again) == owed);
+          CHECK(again.lost_bytes() == 0);
+          ++played;
+        }
+  CHECK(played == 14 * 3 * 4 * 3);
+}
+
+// A torn record's rest is the client's own bytes: were a shorter record written over its beginning, they
+// could be read as a record of their own.
+TEST_CASE("while a torn record can't be cut off nothing is written over it") {
+  const Folder folder;
+  const NoFaults after;
+  Journal journal(folder.path(), kDisk);
+  REQUIRE(journal.TakeOn(Message("a")));
+  writes.Plan(0, 2, ENOSPC, 5'000);
+  cuts.Plan(0, kForEver, EIO);
+  CHECK_FALSE(journal.TakeOn(Message("long", 10'000)));
+  writes = Faults{};
+  CHECK_FALSE(journal.TakeOn(Message("short")));
+  cuts = Faults{};
+  CHECK(journal.TakeOn(Message("short")));
+  CHECK(Owed(Journal(folder.path(), kDisk)) == std::set<std::string>{"a", "short"});
+}
+
+TEST_CASE("a compaction that can't be written leaves the old file, and is done later") {
+  const Folder folder;
+  const NoFaults after;
+  Journal journal(folder.path(), kDisk);
+  REQUIRE(journal.TakeOn(Message("kept")));
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    if (i % 7 == 3) writes.Plan(0, 2, EIO);
+    if (!journal.TakeOn(Message(id, 60'000))) continue;
+    journal.End(id);
+    if (i % 5 == 0) CHECK(Owed(Journal(folder.path(), kDisk)).count("kept") == 1);
+  }
+  writes = Faults{};
+  REQUIRE(journal.TakeOn(Message("last")));
+  CHECK(Owed(Journal(folder.path(), kDisk)) == std::set<std::string>{"kept", "last"});
+}
+
+}  // namespace
+}  // namespace opalroute
