A probe is held back by a drain or a wait told while its connection comes up

Looked for after the incident: where else may a call leave on knowledge that is over? Calls::MayLeave is asked just before a call's first byte; a probe, which counts as a call, was never asked. And a probe that found no connection of the relay's own (kNotSent) was told to the decisions as its endpoint's failure. Change: Probing asks before its first byte; On(ProbeOutcome) passes a probe over that was not sent. Tests: flow_test (no byte leaves), rules_test (seen failing without the line: the endpoint's latest bad outcome moved to now).

--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -175,14 +175,16 @@
   ++counters_.probes;
   EndpointTable::Endpoint& to = endpoints_.At(endpoint);
   ++to.users;
+  const auto may_leave = [this, endpoint] { return driver_.module().MayLeave(loop_.Now(), endpoint); };
+  const auto done = [this](Probing& probe, const ProbeOutcome& outcome) {
+    --endpoints_.At(outcome.endpoint).users;
+    const auto it = probes_.find(&probe);
+    loop_.Retire(std::move(it->second));
+    probes_.erase(it);
+    driver_.Post(outcome);
+  };
   auto owned = std::make_unique<Probing>(loop_, client_, endpoint, to.address, config_.limits.connect_time,
-                                         [this](Probing& probe, const ProbeOutcome& outcome) {
-                                           --endpoints_.At(outcome.endpoint).users;
-                                           const auto it = probes_.find(&probe);
-                                           loop_.Retire(std::move(it->second));
-                                           probes_.erase(it);
-                                           driver_.Post(outcome);
-                                         });
+                                         may_leave, done);
   Probing* probe = owned.get();
   probes_.emplace(probe, std::move(owned));
   probe->Start();
--- a/src/relay/server_flow.cpp
+++ b/src/relay/server_flow.cpp
@@ -256,13 +256,14 @@
 }
 
 Probing::Probing(net::EventLoop& loop, HttpClient& client, EndpointId endpoint, const sockaddr_in& to,
-                 Seconds longest, Done done)
+                 Seconds longest, MayLeave may_leave, Done done)
     : loop_(loop),
       client_(client),
       endpoint_(endpoint),
       to_(to),
       longest_(longest),
       started_(loop.Now()),
+      may_leave_(std::move(may_leave)),
       done_(std::move(done)) {}
 
 Probing::~Probing() {
@@ -279,7 +280,12 @@
   client_.Start({to_, endpoint_}, *this);
 }
 
+// A probe counts as a call: a drain or a wait that was told while its connection came up binds it as well.
 std::string Probing::OnReady() {
+  if (!may_leave_()) {
+    Finish(Outcome::kNotSent);
+    return {};
+  }
   return net::WriteRequest("GET", "/health/live", {{"Host", net::FormatAddress(to_)}}, "");
 }
 
--- a/src/relay/server_flow.h
+++ b/src/relay/server_flow.h
@@ -76,9 +76,10 @@
 // A probe of an endpoint's health.
 class Probing : private net::HttpClient::Call {
  public:
+  using MayLeave = std::function<bool()>;  // asked just before the first byte
   using Done = std::function<void(Probing&, const ProbeOutcome&)>;
   Probing(net::EventLoop& loop, net::HttpClient& client, EndpointId endpoint, const sockaddr_in& to,
-          Seconds longest, Done done);
+          Seconds longest, MayLeave may_leave, Done done);
   ~Probing() override;
   void Start();
 
@@ -93,6 +94,7 @@
   EndpointId endpoint_;
   sockaddr_in to_;
   Seconds longest_, started_ = 0;
+  MayLeave may_leave_;
   Done done_;
   net::EventLoop::TimerId timer_ = 0;
   bool over_ = false;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -142,10 +142,7 @@
   }
 
   void On(const ListConfirmed&) { list_lease_.Confirm(now_); }
-  void On(const ListMoved&) {
-    list_lease_.Moved(now_);
-    RenewList();
-  }
+  void On(const ListMoved&) { list_lease_.Moved(now_), RenewList(); }
 
   void RenewList() {
     if (list_lease_.TakeDueTry(now_)) actions_->push_back(WatchList{true});
@@ -906,6 +903,7 @@
     if (it == endpoints_.end()) return;
     Endpoint& e = it->second;
     e.probing = false;
+    if (r.outcome == Outcome::kNotSent) return;  // it says nothing of the endpoint
     LearnLimit(e, r.report.calls_per_second.value_or(0));
     if (r.outcome == Outcome::kServed && e.circuit == Circuit::kOpen) {
       e.circuit = Circuit::kHalfOpen;  // a probe shows little: calls start slowly
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "net/address.h"
+#include "net/listener.h"
 #include "relay/server_flow.h"
 
 namespace opalroute {
@@ -71,5 +72,29 @@
   close(listener);
 }
 
+// The same for a probe, which counts as a call.
+TEST_CASE("a probe that may not leave any more sends no byte, and fails nobody") {
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  std::vector<int> taken;
+  net::Listener listener(loop, *net::ParseAddress("127.0.0.1:0"), [&](int fd) { taken.push_back(fd); });
+  net::ClientBounds bounds;
+  bounds.http = {4096, 32, 4096};
+  bounds.request_bytes = 4096;
+  bounds.connections = 4;
+  bounds.connect_time = bounds.idle_time = 60;
+  net::HttpClient client(loop, bounds);
+  std::vector<Outcome> outcomes;
+  Probing probe(
+      loop, client, 1, listener.address(), 60, [] { return false; },
+      [&](Probing&, const ProbeOutcome& outcome) { outcomes.push_back(outcome.outcome); });
+  probe.Start();
+  for (int i = 0; i < 2000 && (taken.empty() || outcomes.empty()); ++i) loop.RunOnce(0.01);
+  CHECK(outcomes == std::vector<Outcome>{Outcome::kNotSent});
+  char byte = 0;
+  CHECK(recv(taken.at(0), &byte, 1, MSG_DONTWAIT) < 0);  // nothing has come
+  close(taken.at(0));
+}
+
 }  // namespace
 }  // namespace opalroute
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -703,6 +703,29 @@
   EXPECT_EQ(All<Log>().size(), 2U);
 }
 
+// Guards against a lack of connections here, or a drain told meanwhile, that counts as an endpoint's failure.
+TEST_F(RulesTest, AProbeThatWasNotSentSaysNothingOfItsEndpoint) {
+  Settings s = TestSettings();
+  s.may_probe = true;
+  Start(s);
+  List({Entry(1, 1)});
+  Take(20, kSafeClass);
+  EndTurn();
+  Tell(20, 0, 1, Outcome::kReset);
+  for (int i = 0; i < 400 && All<Probe>().empty(); ++i) RunTo(now_ + 0.1);
+  ASSERT_EQ(All<Probe>().size(), 1U);
+  const auto out_since = [this] {
+    std::optional<DestinationId> from = 0;
+    return courier_->Beliefs(now_, from, 10).at(0).out;
+  };
+  const std::optional<Seconds> before = out_since();
+  ASSERT_GT(before.value_or(0), 0);
+  Play(ProbeOutcome{1, Outcome::kNotSent, 0.1, {}});
+  EXPECT_EQ(out_since(), before);
+  RunTo(now_ + 60);
+  EXPECT_GT(All<Probe>().size(), 1U);
+}
+
 TEST_F(RulesTest, UnknownOutcomesAndEndsArePassedOver) {
   List({Entry(1, 1)});
   Tell(77, 0, 1, Outcome::kServed);
