A relay process of the tests keeps its port from its plan to its end: the known red is traced

Cause: RelayProcess asked the kernel for a free port, closed it and gave its number to a process that binds it some milliseconds later. In between the 18 stages open 72 further listeners, and one of them may get that port. It is an endpoint that answers 200 to whatever is asked, so the relay counted as ready; its process then ended for want of the port, and stayed down.

Change: ReservedAddress holds a bound socket that does not listen; the kernel hands its port to nobody who asks for any, and a server with SO_REUSEADDR may bind it by number. RelayProcess holds it over restarts; the second tries with other ports are gone. learning_test had the same race and uses it. The process test prints the log of a relay that is not ready. Test: 'nobody else gets a relay's address while its process starts', seen failing before (0 for EADDRINUSE).

--- a/lab/sockets/relay_process.cpp
+++ b/lab/sockets/relay_process.cpp
@@ -8,14 +8,12 @@
 #include <utility>
 
 #include "net/address.h"
-#include "net/listener.h"
 
 namespace opalroute::lab {
 
 namespace {
 
 constexpr net::Seconds kToReady = 15;  // a relay that is not ready by then is not started
-constexpr int kPorts = 5;              // tried, where somebody else has taken the one chosen
 
 net::ClientBounds Bounds() {
   net::ClientBounds bounds;
@@ -26,14 +24,6 @@
   return bounds;
 }
 
-// Free at this moment. Somebody may take it before the relay does: then another is tried.
-sockaddr_in FreeAddress() {
-  const int fd = net::OpenListener(*net::ParseAddress("127.0.0.1:0"));
-  const sockaddr_in address = net::BoundAddress(fd);
-  close(fd);
-  return address;
-}
-
 }  // namespace
 
 class RelayProcess::Check : public net::HttpClient::Call {
@@ -69,6 +59,7 @@
 RelayProcess::RelayProcess(net::EventLoop& loop, int number, Plan plan, Owner& owner)
     : loop_(loop), number_(number), plan_(std::move(plan)), owner_(owner), client_(loop, Bounds()) {
   std::filesystem::create_directories(plan_.folder + "/state");
+  if (plan_.has_pages) pages_.emplace();
 }
 
 RelayProcess::~RelayProcess() {
@@ -77,26 +68,16 @@
 }
 
 void RelayProcess::WriteConfig() {
-  std::ofstream(plan_.folder + "/config.json") << plan_.config(net::FormatAddress(address_)).dump(1) << '\n';
+  std::ofstream(plan_.folder + "/config.json") << plan_.config(net::FormatAddress(address())).dump(1) << '\n';
 }
 
 void RelayProcess::Start() {
   Kill();
-  tries_ = 0;
-  if (address_.sin_port == 0) address_ = FreeAddress();
-  Launch();
-}
-
-void RelayProcess::Launch() {
-  ++tries_;
   ready_ = stopping_ = frozen_ = false;
   launched_ = loop_.Now();
   WriteConfig();
   std::vector<std::string> arguments = plan_.arguments;
-  if (plan_.has_pages) {
-    pages_ = FreeAddress();
-    arguments.insert(arguments.end(), {"--admin-listen", net::FormatAddress(pages_)});
-  }
+  if (pages_) arguments.insert(arguments.end(), {"--admin-listen", net::FormatAddress(pages_->address())});
   process_ = std::make_unique<Process>(
       plan_.program, arguments,
       std::map<std::string, std::string>{{"EDGE_CONFIG", plan_.folder + "/config.json"},
@@ -108,12 +89,8 @@
   if (!process_) return;
   if (const auto how = process_->Ended()) {
     process_.reset();
-    const bool was_ready = std::exchange(ready_, false);
+    ready_ = false;
     if (stopping_) return owner_.OnEnd(number_);
-    if (!was_ready && tries_ < kPorts) {
-      address_ = FreeAddress();
-      return Launch();
-    }
     return owner_.OnCrash(number_, *how);
   }
   const net::Seconds now = loop_.Now();
@@ -127,7 +104,7 @@
 void RelayProcess::Ask() {
   if (check_) return;
   check_ = std::make_unique<Check>(*this);
-  client_.Start({address_, 0}, *check_);
+  client_.Start({address(), 0}, *check_);
 }
 
 void RelayProcess::Terminate() {
@@ -161,9 +138,9 @@
 }
 
 void RelayProcess::Order(const std::string& path, std::string body) {
-  if (!process_ || posted_) return;
+  if (!process_ || posted_ || !pages_) return;
   posted_ = std::make_unique<Posted>(*this, net::WriteRequest("POST", path, {{"Host", "lab"}}, body));
-  client_.Start({pages_, 0}, *posted_);
+  client_.Start({pages_->address(), 0}, *posted_);
 }
 
 std::optional<ProcessSample> RelayProcess::Sample() const {
--- a/lab/sockets/relay_process.h
+++ b/lab/sockets/relay_process.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lab/sockets/process.h"
+#include "lab/sockets/reserved_address.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 
@@ -50,7 +51,7 @@
 
   bool running() const { return process_ != nullptr; }
   bool ready() const { return ready_; }
-  sockaddr_in address() const { return address_; }
+  const sockaddr_in& address() const { return listen_.address(); }
   std::optional<ProcessSample> Sample() const;
   std::string LastLog() const;
 
@@ -58,7 +59,6 @@
   class Check;
   class Posted;
   void WriteConfig();
-  void Launch();
   void Ask();
 
   net::EventLoop& loop_;
@@ -66,12 +66,13 @@
   const Plan plan_;
   Owner& owner_;
   net::HttpClient client_;
-  sockaddr_in address_{}, pages_{};
+  // Kept over restarts, too: nobody else gets them while no process listens there.
+  const ReservedAddress listen_;
+  std::optional<ReservedAddress> pages_;
   std::unique_ptr<Process> process_;
   std::unique_ptr<Check> check_;
   std::unique_ptr<Posted> posted_;  // the latest order, until it is answered
   bool ready_ = false, stopping_ = false, frozen_ = false;
-  int tries_ = 0;
   net::Seconds launched_ = 0, stopped_ = 0;
 };
 
--- a/tests/endpoint_list_processes_test.cpp
+++ b/tests/endpoint_list_processes_test.cpp
@@ -45,6 +45,7 @@
   }
 
   bool ready() const { return relay_.ready(); }
+  std::string Trouble() const { return crash_.empty() ? relay_.LastLog() : crash_ + "\n" + relay_.LastLog(); }
   void Poll() { relay_.Poll(); }
   void Begin() {
     start_ = loop_.Now();
@@ -169,6 +170,8 @@
     return std::all_of(stages.begin(), stages.end(), [](const auto& stage) { return stage->ready(); });
   };
   run(loop.Now() + 60, all_ready);
+  for (const auto& stage : stages)
+    if (!stage->ready()) MESSAGE("not ready: ", stage->Trouble());
   REQUIRE(all_ready());
   Seconds longest = 0;
   for (const auto& stage : stages) {
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -18,6 +18,7 @@
 #include "lab/sockets/loopback.h"
 #include "lab/sockets/play.h"
 #include "lab/sockets/process.h"
+#include "lab/sockets/relay_process.h"
 #include "net/address.h"
 #include "net/http.h"
 #include "program.h"
@@ -338,6 +339,42 @@
   CHECK(!r.Sound());
 }
 
+// Starts no program; says whether a socket that nobody has told of it could take the address of the process.
+class AddressTaker : private RelayProcess::Owner {
+ public:
+  explicit AddressTaker(const std::string& folder) : relay_(loop_, 1, PlanOf(folder), *this) {
+    relay_.Start();
+  }
+  int error() const { return error_; }
+
+ private:
+  RelayProcess::Plan PlanOf(const std::string& folder) {
+    RelayProcess::Plan plan;
+    plan.program = "/bin/true";
+    plan.folder = folder;
+    plan.config = [this](const std::string& listen) {
+      const sockaddr_in address = *net::ParseAddress(listen);
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      error_ = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 ? 0 : errno;
+      close(fd);
+      return json::object();
+    };
+    return plan;
+  }
+  void OnReady(int) override {}
+  void OnCrash(int, const std::string&) override {}
+
+  const net::SystemClock clock_;
+  net::EventLoop loop_{clock_};
+  int error_ = 0;
+  RelayProcess relay_;
+};
+
+TEST_CASE("lab: nobody else gets a relay's address while its process starts") {
+  const Folder folder;
+  CHECK(AddressTaker(folder / "relay").error() == EADDRINUSE);
+}
+
 TEST_CASE("lab: a relay that does not come up ends the run with its log") {
   const Folder folder;
   SocketOptions options = OptionsIn(folder / "run");
--- a/tests/learning_test.cpp
+++ b/tests/learning_test.cpp
@@ -13,6 +13,7 @@
 
 #include "lab/clock.h"
 #include "lab/experiments/learning_experiment.h"
+#include "lab/sockets/reserved_address.h"
 #include "learning/donor.h"
 #include "learning/judge.h"
 #include "learning/learner.h"
@@ -463,14 +464,6 @@
 // ---- whole relays
 // ----------------------------------------------------------------------------------------------
 
-// Taken and given back: relays name one another's addresses before they run.
-std::string FreeAddress() {
-  const int fd = net::OpenListener(*net::ParseAddress("127.0.0.1:0"));
-  const std::string address = net::FormatAddress(net::BoundAddress(fd));
-  close(fd);
-  return address;
-}
-
 nlohmann::json BaseConfig(const fs::path& state, const std::string& name) {
   nlohmann::json config;
   std::ifstream(fs::path(EXCHANGES) / "base.json") >> config;
@@ -492,7 +485,7 @@
   spdlog::set_level(spdlog::level::off);
   const fs::path folder = fs::temp_directory_path() / ("opalroute-tier-" + std::to_string(getpid()));
   Net net;
-  const std::vector<std::string> addresses = {FreeAddress(), FreeAddress(), FreeAddress()};
+  const lab::ReservedAddress reserved[3];
   std::vector<std::unique_ptr<Config>> configs;
   std::vector<std::unique_ptr<Relay>> tier;
   for (std::size_t i = 0; i < 3; ++i) {
@@ -500,9 +493,9 @@
     configs.push_back(std::make_unique<Config>(
         config::Parse(BaseConfig(folder / name, name), [](const char*) { return std::nullopt; })));
     Operator settings;
-    settings.learn.listen = net::ParseAddress(addresses[i]);
-    for (const std::string& address : addresses)  // itself too
-      settings.learn.from.push_back(*net::ParseAddress(address));
+    settings.learn.listen = reserved[i].address();
+    for (const auto& any : reserved)  // itself too
+      settings.learn.from.push_back(any.address());
     tier.push_back(std::make_unique<Relay>(net.loop, *configs.back(), settings));
   }
   const auto ready = [&] {
@@ -526,7 +519,8 @@
     return file;
   };
   const fs::path donor_config = write("donor"), learner_config = write("learner");
-  const std::string address = FreeAddress();
+  const lab::ReservedAddress reserved;
+  const std::string address = net::FormatAddress(reserved.address());
   Program donor(donor_config, "127.0.0.1:1", {"run", "--learn-listen", address});
   REQUIRE(donor.Says("listening"));
   const auto learn = [&](const char* milliseconds) {
