--- a/tests/judge_tests_test.sh
+++ b/tests/judge_tests_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # tools/judge-tests lets a run pass only where each failed test is named in the list, and the list is sound: else a
-# failure could land unseen. Plays real runs of ctest over tests that pass and fail.
+# failure could land unseen. Plays real runs of ctest over tests that pass and fail. tools/test-and-judge hands on the
+# judge's word and not the test command's.
 set -u
 judge=$1 folder=$2 wrong=0
 rm -rf "$folder"
@@ -43,4 +44,26 @@
 run red
 ran=2  # a build that failed, with the log of an earlier run in place
 expect fail "" "red, cause, issue 3"
+
+whole() {  # whole pass|fail LIST...: the command in a checkout of its own, whose ./test is the run above
+  local want=$1 got=pass
+  shift
+  printf '%s\n' "$@" >"$folder/KNOWN-RED.txt"
+  (cd "$folder" && tools/test-and-judge . -DOPTION=ON) >"$folder/out" 2>&1 || got=fail
+  if [ "$got" != "$want" ]; then
+    echo "test-and-judge: wanted $want for the list '$*', got $got: $(cat "$folder/out")"
+    wrong=1
+  fi
+}
+mkdir -p "$folder/tools"
+cp "$judge" "$(dirname "$judge")/test-and-judge" "$folder/tools"
+printf '#!/bin/sh\nctest --test-dir "$1"\n' >"$folder/test"
+chmod +x "$folder/test"
+run
+whole pass "# none"
+run red
+whole fail "# none"
+whole pass "red, cause, issue 3"
+printf '#!/bin/sh\nexit 2\n' >"$folder/test"  # a build that failed
+whole fail "red, cause, issue 3"
 exit $wrong
