Times that outlive the process go by the monotonic clock: a stepped wall clock moves none

Seen: five messages taken on, SIGKILL, wall clock an hour ahead, restart: 0 of 5 delivered (measured for the issue). Lines at fault: TransactionTable::TakeOn, Calls::MayLeave, Relay::RestoreOne, ShareWait and HeedSharedWaits, Learning and TierHost took WallMicros for times that another process reads.

A later process resumes it if boot and clock are the same, else it goes by the wall clock. Records keep their form: they are Unix times but for steps. An attempt recorded in the future (only after a boot) is of unknown age, so no window is taken to be open.

--- a/src/cli/snapshot.cpp
+++ b/src/cli/snapshot.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "journal/persistent_clock.h"
 #include "learning/learner.h"
 #include "learning/state_file.h"
 #include "net/address.h"
@@ -50,9 +51,9 @@
 Result Load(const std::string& folder) {
   const Limits limits;
   const auto saved = learning::StateFile(folder, limits.learn_file_bytes).Load();
-  const net::SystemClock clock;
-  return {saved.name, saved.end, static_cast<double>(clock.WallMicros() - saved.written_at) / 1e6,
-          saved.lanes};
+  const net::SystemClock system_clock;
+  const PersistentClock clock(system_clock, folder);
+  return {saved.name, saved.end, static_cast<double>(clock.Micros() - saved.written_at) / 1e6, saved.lanes};
 }
 
 ordered_json LaneJson(const Heard& heard) {
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -5,11 +5,9 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <chrono>
-#include <cstring>
 #include <system_error>
-#include <thread>
 
+#include "journal/durable_file.h"
 #include "net/framing.h"
 
 namespace opalroute {
@@ -26,8 +24,6 @@
 constexpr double kKeptPart = 0.43;  // ... and nothing more is attempted
 constexpr double kFilePart = 0.55;  // of the disk: a file that has grown to this is compacted
 constexpr std::size_t kBlock = 512;
-constexpr int kReadRetries = 100;                    // at the start, of reads that fail ...
-constexpr std::chrono::milliseconds kReadPause(10);  // ... with so long in between
 
 void PutNumber(std::string& record, std::uint64_t number) {
   char bytes[8];
@@ -107,34 +103,6 @@
   return record;
 }
 
-bool WriteAll(int fd, const std::string& bytes, std::size_t at) {
-  std::size_t done = 0;
-  while (done < bytes.size()) {
-    const ssize_t count = pwrite(fd, bytes.data() + done, bytes.size() - done, static_cast<off_t>(at + done));
-    if (count < 0 && errno == EINTR) continue;
-    if (count <= 0) return false;
-    done += static_cast<std::size_t>(count);
-  }
-  return true;
-}
-
-// Danger: a read that fails is not the end of the file. To go on as if it were would cut off what is owed.
-std::string ReadAll(int fd) {
-  std::string bytes;
-  char piece[65536];
-  for (int failures = 0;;) {
-    const ssize_t count = pread(fd, piece, sizeof(piece), static_cast<off_t>(bytes.size()));
-    if (count == 0) return bytes;
-    if (count > 0) {
-      bytes.append(piece, static_cast<std::size_t>(count));
-      continue;
-    }
-    if (errno == EINTR) continue;
-    if (++failures > kReadRetries) throw std::system_error(errno, std::generic_category(), "journal");
-    std::this_thread::sleep_for(kReadPause);
-  }
-}
-
 }  // namespace
 
 Journal::Journal(const std::string& folder, std::size_t disk_bytes, std::string file)
@@ -150,7 +118,7 @@
 }
 
 void Journal::Recover() {
-  const std::string bytes = ReadAll(fd_);
+  const std::string bytes = ReadWholeFile(fd_, path());
   std::size_t good = 0;
   for (;;) {
     const net::FrameRead read = net::ReadFrame(std::string_view(bytes).substr(good), kLongestRecord);
@@ -337,7 +305,7 @@
   const auto grown = static_cast<std::size_t>(kFilePart * static_cast<double>(disk_bytes_));
   if (file_bytes_ + bytes.size() > grown) Compact();
   if (file_bytes_ + bytes.size() > disk_bytes_ || !CutTornRecord()) return false;
-  if (!WriteAll(fd_, bytes, file_bytes_)) {
+  if (!WriteAllAt(fd_, bytes, file_bytes_)) {
     torn_ = true;
     CutTornRecord();
     return false;
@@ -376,7 +344,7 @@
   const std::string fresh = path() + ".new";
   const int fd = open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0) return false;
-  if (!WriteAll(fd, bytes, 0) || rename(fresh.c_str(), path().c_str()) < 0) {
+  if (!WriteAllAt(fd, bytes, 0) || rename(fresh.c_str(), path().c_str()) < 0) {
     close(fd);
     unlink(fresh.c_str());
     return false;
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -17,14 +17,14 @@
 
 struct JournalAttempt {
   std::string endpoint, zone;
-  std::int64_t sent_at = 0;  // Unix time in microseconds
+  std::int64_t sent_at = 0;  // PersistentClock::Micros
   bool may_have_run = true;  // until its outcome says otherwise
 };
 
 struct JournalEntry {
   std::string id, message_class, tenant, key, body;
   std::int64_t destination = 0;
-  std::int64_t deadline = 0;  // Unix time in microseconds
+  std::int64_t deadline = 0;  // PersistentClock::Micros
   std::vector<JournalAttempt> attempts;
   std::string notice;  // not empty: ended, and this is still to be told to the platform
 };
--- a/src/learning/learning.cpp
+++ b/src/learning/learning.cpp
@@ -8,8 +8,10 @@
 
 namespace opalroute::learning {
 
-Learning::Learning(net::EventLoop& loop, const Config& config, const Operator::Learn& settings, Host& host)
+Learning::Learning(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
+                   const Operator::Learn& settings, Host& host)
     : loop_(loop),
+      clock_(clock),
       config_(config),
       settings_(settings),
       host_(host),
@@ -81,7 +83,7 @@
   gathered_ = MostUrgent(std::move(gathered_));
   const bool some = !gathered_.empty();
   if (!some && !file_holds_some_) return;
-  if (file_->Save(config_.name, loop_.clock().WallMicros(), gathered_)) {
+  if (file_->Save(config_.name, clock_.Micros(), gathered_)) {
     file_holds_some_ = some;
   } else {
     log::Warn("learn_not_saved", {{"path", file_->path()}});
@@ -92,8 +94,9 @@
 
 void Learning::LoadState() {
   const StateFile::Saved saved = file_->Load();
-  // Time that this process did not run is age like any other. A wall clock that was set back adds none.
-  const double down = std::max(0.0, static_cast<double>(loop_.clock().WallMicros() - saved.written_at) / 1e6);
+  // Time that this process did not run is age like any other. Where the machine has booted and its wall clock
+  // is behind it adds none.
+  const double down = std::max(0.0, static_cast<double>(clock_.Micros() - saved.written_at) / 1e6);
   file_holds_some_ = !saved.lanes.empty();
   if (saved.end == "none") return;
   Judge judge(RulesOf(), config_.limits.learn_lanes);
--- a/src/learning/learning.h
+++ b/src/learning/learning.h
@@ -12,6 +12,7 @@
 
 #include "config/config.h"
 #include "config/operator.h"
+#include "journal/persistent_clock.h"
 #include "learning/donor.h"
 #include "learning/judge.h"
 #include "learning/learner.h"
@@ -35,7 +36,8 @@
 
 class Learning : private Learner::Owner {
  public:
-  Learning(net::EventLoop& loop, const Config& config, const Operator::Learn& settings, Host& host);
+  Learning(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
+           const Operator::Learn& settings, Host& host);
   ~Learning() override;
 
   bool done() const { return learner_ == nullptr; }  // the relay may be put to use
@@ -64,6 +66,7 @@
   };
 
   net::EventLoop& loop_;
+  const PersistentClock& clock_;
   const Config& config_;
   const Operator::Learn settings_;
   Host& host_;
--- a/src/learning/state_file.cpp
+++ b/src/learning/state_file.cpp
@@ -1,11 +1,11 @@
 #include "learning/state_file.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <utility>
 
+#include "journal/durable_file.h"
 #include "learning/stream.h"
 
 namespace opalroute::learning {
@@ -65,13 +65,7 @@
   }
   if (fits) flush();
   bytes += Write(End{written});
-  const std::string fresh = path() + ".new";
-  std::ofstream stream(fresh, std::ios::binary | std::ios::trunc);
-  stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-  stream.close();
-  if (stream && std::rename(fresh.c_str(), path().c_str()) == 0) return true;
-  std::remove(fresh.c_str());
-  return false;
+  return ReplaceFile(path(), bytes);
 }
 
 }  // namespace opalroute::learning
--- a/src/operation/bans.cpp
+++ b/src/operation/bans.cpp
@@ -5,17 +5,17 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstdio>
 #include <fstream>
 #include <system_error>
 #include <utility>
 
+#include "journal/durable_file.h"
+
 namespace opalroute::operation {
 
 namespace {
 
 constexpr const char* kFile = "bans";
-constexpr const char* kFresh = "bans.new";
 constexpr const char* kLock = "bans.lock";
 
 }  // namespace
@@ -74,15 +74,9 @@
   std::string text;
   for (const std::string& id : ids) text += id + "\n";
   if (text.size() > most_bytes_) return false;
-  std::ofstream file(Path(kFresh), std::ios::trunc);
-  file << text;
-  file.close();
-  if (file && std::rename(Path(kFresh).c_str(), Path(kFile).c_str()) == 0) {
-    stat(Path(kFile).c_str(), &read_);
-    return true;
-  }
-  std::remove(Path(kFresh).c_str());
-  return false;
+  if (!ReplaceFile(Path(kFile), text)) return false;
+  stat(Path(kFile).c_str(), &read_);
+  return true;
 }
 
 }  // namespace opalroute::operation
--- a/src/operation/shared_waits.h
+++ b/src/operation/shared_waits.h
@@ -14,7 +14,7 @@
 struct SharedWait {
   std::int64_t destination = 0;
   std::uint32_t tag = 0;   // of the endpoint where routes are apart (TagOf), else 0
-  std::int64_t until = 0;  // Unix time in microseconds
+  std::int64_t until = 0;  // PersistentClock::Micros, alike in both processes
 };
 
 class SharedWaits {
--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -18,10 +18,12 @@
 
 }  // namespace
 
-Calls::Calls(net::EventLoop& loop, net::HttpClient& client, const Config& config, Counters& counters,
-             EndpointTable& endpoints, TransactionTable& transactions, ModuleDriver& driver,
-             std::function<void()> on_flow_over, std::function<void(EndpointId, Seconds)> on_wait)
+Calls::Calls(net::EventLoop& loop, const PersistentClock& clock, net::HttpClient& client,
+             const Config& config, Counters& counters, EndpointTable& endpoints,
+             TransactionTable& transactions, ModuleDriver& driver, std::function<void()> on_flow_over,
+             std::function<void(EndpointId, Seconds)> on_wait)
     : loop_(loop),
+      clock_(clock),
       client_(client),
       config_(config),
       counters_(counters),
@@ -110,7 +112,7 @@
   JournalAttempt attempt;
   attempt.endpoint = endpoint.id;
   attempt.zone = config_.zones.empty() ? "" : config_.zones[endpoint.zone];
-  attempt.sent_at = loop_.clock().WallMicros();
+  attempt.sent_at = clock_.Micros();
   return transactions_.RecordAttempt(t, member.attempt,
                                      attempt);  // what a restart would not know must not run
 }
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "journal/persistent_clock.h"
 #include "net/http_client.h"
 #include "relay/counters.h"
 #include "relay/endpoint_table.h"
@@ -21,8 +22,8 @@
 class Calls : private ServerFlow::Owner {
  public:
   // `on_flow_over` is called when one flow fewer is out, `on_wait` when an endpoint has told one.
-  Calls(net::EventLoop& loop, net::HttpClient& client, const Config& config, Counters& counters,
-        EndpointTable& endpoints, TransactionTable& transactions, ModuleDriver& driver,
+  Calls(net::EventLoop& loop, const PersistentClock& clock, net::HttpClient& client, const Config& config,
+        Counters& counters, EndpointTable& endpoints, TransactionTable& transactions, ModuleDriver& driver,
         std::function<void()> on_flow_over, std::function<void(EndpointId, Seconds)> on_wait);
 
   // Sends of one turn to one endpoint share calls, as far as its kind allows: Start sends what was gathered.
@@ -51,6 +52,7 @@
                  const char* why) const;
 
   net::EventLoop& loop_;
+  const PersistentClock& clock_;
   net::HttpClient& client_;
   const Config& config_;
   Counters& counters_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cmath>
+#include <cstring>
 #include <filesystem>
 #include <nlohmann/json.hpp>
 #include <system_error>
@@ -65,6 +66,13 @@
   return line.dump();
 }
 
+// Danger: an attempt from a time still to come was recorded before a boot, by a wall clock that was ahead. It
+// may be of any age, and no window may be taken to be open still.
+Seconds AgeOf(const JournalAttempt& attempt, std::int64_t now) {
+  constexpr Seconds kUnknownAge = 1e9;
+  return attempt.sent_at > now ? kUnknownAge : static_cast<double>(now - attempt.sent_at) / 1e6;
+}
+
 std::string JournalOf(int seat) { return seat == 0 ? "journal" : "journal." + std::to_string(seat); }
 
 }  // namespace
@@ -73,8 +81,8 @@
 std::size_t Relay::JournalBytes() const {
   const std::size_t learned = settings_.learn.state ? config_.limits.learn_file_bytes : 0;
   const std::size_t tier = settings_.tier.on() ? TierState::kMostBytes : 0;
-  const std::size_t beside =
-      learned + tier + 2 * config_.limits.ban_bytes;  // a file and the one that replaces it
+  const std::size_t beside = learned + tier + PersistentClock::kMostBytes +
+                             2 * config_.limits.ban_bytes;  // a file and the one that replaces it
   const std::size_t disk = config_.limits.disk_bytes, rest = disk - std::min(disk / 2, beside);
   return config_.inherited_fd >= 0 ? rest / operation::kSeats : rest;
 }
@@ -84,14 +92,15 @@
       config_(config),
       settings_(settings),
       seats_(config.state_folder, config.inherited_fd >= 0),
+      clock_(loop.clock(), config.state_folder),
       journal_(config.state_folder, JournalBytes(), JournalOf(seats_.own())),
       endpoints_client_(loop, EndpointBounds(config)),
       platform_client_(loop, PlatformBounds(config.limits)),
       endpoints_(loop, endpoints_client_, config, counters_),
-      transactions_(loop, config, counters_, journal_),
+      transactions_(loop, clock_, config, counters_, journal_),
       driver_(loop, config.settings, *this),
       calls_(
-          loop, endpoints_client_, config, counters_, endpoints_, transactions_, driver_,
+          loop, clock_, endpoints_client_, config, counters_, endpoints_, transactions_, driver_,
           [this] { CheckStopped(); },
           [this](EndpointId endpoint, Seconds wait) { ShareWait(endpoint, wait); }),
       bans_(config.state_folder, config.limits.ban_bytes),
@@ -114,6 +123,8 @@
       discovery_at_(config.discovery),
       server_(loop, config, counters_, *this) {
   counters_.classes.resize(config.classes.size());
+  log::Info("clock", {{"resumed", clock_.resumed()}, {"wall_step_ms", clock_.WallStep() / 1000}});
+  KeepClock();
   if (config.peer_listen) StartOrStayOff("notes between relays", [this] { ListenToPeers(); });
   if (settings.admin_listen)
     StartOrStayOff("operators' pages", [&] {
@@ -136,7 +147,7 @@
   // Before what an earlier process had taken on is sent: the partners may be down still.
   if (settings.learn.on())
     StartOrStayOff("learning from running instances", [&] {
-      learning_ = std::make_unique<learning::Learning>(loop, config, settings.learn, learning_host_);
+      learning_ = std::make_unique<learning::Learning>(loop, clock_, config, settings.learn, learning_host_);
     });
   if (settings.tier.on()) JoinTier();
   Restore();
@@ -152,6 +163,7 @@
 Relay::~Relay() {
   loop_.Cancel(stop_timer_);
   loop_.Cancel(poll_timer_);
+  loop_.Cancel(clock_timer_);
 }
 
 // ---- operators ---------------------------------------------------------------------------------------
@@ -207,12 +219,12 @@
   const EndpointTable::Endpoint& e = endpoints_.At(endpoint);
   const bool apart = config_.settings.kinds[e.kind].routes_apart;
   const auto until = static_cast<std::int64_t>(std::ceil((wait + config_.settings.tick) * 1e6));
-  waits_->Tell({e.destination, apart ? e.told.tag : 0, loop_.clock().WallMicros() + until});
+  waits_->Tell({e.destination, apart ? e.told.tag : 0, clock_.Micros() + until});
 }
 
 // Danger: the two processes count as one relay, and what was told to either binds both.
 void Relay::HeedSharedWaits() {
-  const std::int64_t now = loop_.clock().WallMicros();
+  const std::int64_t now = clock_.Micros();
   const std::vector<operation::SharedWait> waits = waits_->Holding(now);
   if (waits.empty()) return;
   std::map<std::pair<DestinationId, std::uint32_t>, EndpointId> apart;
@@ -233,6 +245,14 @@
   driver_.Post(std::move(told));
 }
 
+// Danger: a later process of this boot that does not find the offset goes by the wall clock.
+void Relay::KeepClock() {
+  if (clock_.Keep()) return;
+  if (clock_timer_ == 0)
+    log::Warn("clock_not_kept", {{"folder", config_.state_folder}, {"why", std::strerror(errno)}});
+  clock_timer_ = loop_.At(loop_.Now() + config_.limits.state_poll, [this] { KeepClock(); });
+}
+
 // Another process of this relay may be told as well.
 void Relay::PollState() {
   poll_timer_ = loop_.At(loop_.Now() + config_.limits.state_poll, [this] { PollState(); });
@@ -317,7 +337,7 @@
                         : config_.inherited_fd >= 0 ? "two processes of this relay may run at once"
                                                     : nullptr;
   if (lacking != nullptr) return log::Warn("feature_off", {{"feature", "tier"}, {"why", lacking}});
-  tier_ = std::make_unique<TierHost>(loop_, config_, settings_.tier, endpoints_,
+  tier_ = std::make_unique<TierHost>(loop_, clock_, config_, settings_.tier, endpoints_,
                                      static_cast<TierHost::Owner&>(*this));
 }
 
@@ -390,12 +410,12 @@
   restored.message.destination = entry.destination;
   const int tenant = IndexOf(config_.tenants, entry.tenant);
   if (tenant >= 0) restored.message.tenant = tenant;
-  const std::int64_t wall = loop_.clock().WallMicros();
+  const std::int64_t now = clock_.Micros();
   restored.message.patience =
-      std::clamp(static_cast<double>(entry.deadline - wall) / 1e6, 0.0, config_.limits.longest_remaining);
+      std::clamp(static_cast<double>(entry.deadline - now) / 1e6, 0.0, config_.limits.longest_remaining);
   restored.message.message = transactions_.Restore(entry, restored.message.patience);
   for (const JournalAttempt& a : entry.attempts) {
-    const Seconds age = std::max(0.0, static_cast<double>(wall - a.sent_at) / 1e6);
+    const Seconds age = AgeOf(a, now);
     const int zone = IndexOf(config_.zones, a.zone);
     // A zone that the settings have lost must not read as none: it binds a keyed message to no endpoint.
     restored.attempts.push_back({endpoints_.Intern(a.endpoint),
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "config/config.h"
 #include "config/operator.h"
 #include "journal/journal.h"
+#include "journal/persistent_clock.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -86,6 +87,7 @@
   void HeedBans();
   void ShareWait(EndpointId endpoint, Seconds wait);
   void HeedSharedWaits();
+  void KeepClock();
   void PollState();
   void ListenToPeers();
   void TakeNote(int peer, std::string bytes);
@@ -107,6 +109,7 @@
   const Operator settings_;
   Counters counters_;
   operation::Seats seats_;
+  PersistentClock clock_;
   Journal journal_;
   net::HttpClient endpoints_client_, platform_client_;
   EndpointTable endpoints_;
@@ -131,7 +134,7 @@
   bool ready_ = false, stopping_ = false, taking_on_ = true, may_end_ = false;
   bool peers_later_ = false;  // the other process has their address still
   std::function<void()> stopped_;
-  net::EventLoop::TimerId stop_timer_ = 0, poll_timer_ = 0;
+  net::EventLoop::TimerId stop_timer_ = 0, poll_timer_ = 0, clock_timer_ = 0;
 
   VirtualServer server_;  // late: it lets clients in
   std::unique_ptr<operation::Door> door_;
--- a/src/relay/tier_host.cpp
+++ b/src/relay/tier_host.cpp
@@ -21,16 +21,16 @@
 }
 
 // Danger: a clock that was set back would make the new process's notes look like replays of the old one's.
-TierHost::TierHost(net::EventLoop& loop, const Config& config, const Operator::Tier& settings,
-                   const EndpointTable& endpoints, Owner& owner)
+TierHost::TierHost(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
+                   const Operator::Tier& settings, const EndpointTable& endpoints, Owner& owner)
     : loop_(loop),
+      clock_(clock),
       config_(config),
       endpoints_(endpoints),
       owner_(owner),
       state_(config.state_folder),
-      kept_(state_.Load(config.name, config.zones, loop.clock().WallMicros(), config.limits.tier_kept)),
-      life_(std::max(static_cast<std::uint64_t>(std::max<std::int64_t>(1, loop.clock().WallMicros())),
-                     kept_.life + 1)),
+      kept_(state_.Load(config.name, config.zones, clock.Micros(), config.limits.tier_kept)),
+      life_(std::max(static_cast<std::uint64_t>(std::max<std::int64_t>(1, clock.Micros())), kept_.life + 1)),
       member_(RulesOf(config, settings), life_, config.settings.seed, loop.Now(), kept_.zones),
       parts_(static_cast<double>(config.peers.size())) {
   log::Info("tier_joins", {{"relays", config.peers.size()}, {"own", config.own_peer}, {"kept", kept_.end}});
@@ -110,7 +110,7 @@
 }
 
 void TierHost::Save() {
-  const std::int64_t now = loop_.clock().WallMicros();
+  const std::int64_t now = clock_.Micros();
   if (!state_.Save(config_.name, config_.zones, now, life_, member_.Keep(loop_.Now())))
     log::Warn("tier_not_saved", {{"path", state_.path()}});
 }
--- a/src/relay/tier_host.h
+++ b/src/relay/tier_host.h
@@ -11,6 +11,7 @@
 
 #include "config/config.h"
 #include "config/operator.h"
+#include "journal/persistent_clock.h"
 #include "net/event_loop.h"
 #include "relay/endpoint_table.h"
 #include "relay/tier_state.h"
@@ -27,8 +28,8 @@
     virtual void PostTier(Event event) = 0;                                        // to the decision module
     virtual void SendNote(std::optional<int> peer, const std::string& bytes) = 0;  // to none: to all
   };
-  TierHost(net::EventLoop& loop, const Config& config, const Operator::Tier& settings,
-           const EndpointTable& endpoints, Owner& owner);
+  TierHost(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
+           const Operator::Tier& settings, const EndpointTable& endpoints, Owner& owner);
   ~TierHost();
 
   // A datagram of a peer; false: it is none of the tier's.
@@ -53,6 +54,7 @@
   std::string ZoneName(int zone) const;
 
   net::EventLoop& loop_;
+  const PersistentClock& clock_;
   const Config& config_;
   const EndpointTable& endpoints_;
   Owner& owner_;
--- a/src/relay/tier_state.cpp
+++ b/src/relay/tier_state.cpp
@@ -1,11 +1,11 @@
 #include "relay/tier_state.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "journal/durable_file.h"
 #include "net/framing.h"
 
 namespace opalroute {
@@ -86,13 +86,7 @@
   }
   const std::string record = all.dump();
   if (record.size() > kMostRecord) return false;
-  const std::string fresh = path_ + ".new";
-  std::ofstream file(fresh, std::ios::binary | std::ios::trunc);
-  file << net::Frame(record);
-  file.close();
-  if (file && std::rename(fresh.c_str(), path_.c_str()) == 0) return true;
-  std::remove(fresh.c_str());
-  return false;
+  return ReplaceFile(path_, net::Frame(record));
 }
 
 }  // namespace opalroute
--- a/src/relay/transaction_table.cpp
+++ b/src/relay/transaction_table.cpp
@@ -8,9 +8,9 @@
 
 namespace opalroute {
 
-TransactionTable::TransactionTable(net::EventLoop& loop, const Config& config, Counters& counters,
-                                   Journal& journal)
-    : loop_(loop), config_(config), counters_(counters), journal_(journal) {}
+TransactionTable::TransactionTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
+                                   Counters& counters, Journal& journal)
+    : loop_(loop), clock_(clock), config_(config), counters_(counters), journal_(journal) {}
 
 Transaction* TransactionTable::Find(MessageId message) {
   const auto it = transactions_.find(message);
@@ -43,7 +43,7 @@
   entry.key = request.key;
   entry.body = request.body;
   entry.destination = request.destination;
-  entry.deadline = loop_.clock().WallMicros() + static_cast<std::int64_t>(request.remaining * 1e6);
+  entry.deadline = clock_.Micros() + static_cast<std::int64_t>(request.remaining * 1e6);
   if (!journal_.TakeOn(entry)) return 0;
   Transaction t;
   t.id = std::move(request.id);
--- a/src/relay/transaction_table.h
+++ b/src/relay/transaction_table.h
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "journal/journal.h"
+#include "journal/persistent_clock.h"
 #include "net/event_loop.h"
 #include "opalroute/rules.h"
 #include "relay/counters.h"
@@ -29,7 +30,8 @@
 
 class TransactionTable {
  public:
-  TransactionTable(net::EventLoop& loop, const Config& config, Counters& counters, Journal& journal);
+  TransactionTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
+                   Counters& counters, Journal& journal);
 
   Transaction* Find(MessageId message);
   Transaction& At(MessageId message) { return transactions_.at(message); }
@@ -55,6 +57,7 @@
   void Recorded(bool written);  // counts, and logs where that has changed
 
   net::EventLoop& loop_;
+  const PersistentClock& clock_;
   const Config& config_;
   Counters& counters_;
   Journal& journal_;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -12,9 +12,11 @@
 //   reload                      SIGHUP
 //   wait MS                     lets time pass
 //   jump MS                     the same in one leap, with one round of the loop behind it
-//   NAME connect [door]         a client connects, or an operator's caller
-//   NAME accept PLACE           PLACE (an endpoint's id, or `discovery`) takes a connection
-//   NAME accept PLACE METHOD    the same, of those that stand the first that brings a request of this method;
+//   step MS                     the machine's wall clock is set, forward or back; its monotonic clock runs on
+//   boot MS                     the machine starts anew: the monotonic clock as well, and the wall clock is
+//   MS on NAME connect [door]         a client connects, or an operator's caller NAME accept PLACE PLACE (an
+//   endpoint's id, or `discovery`) takes a connection NAME accept PLACE METHOD    the same, of those that
+//   stand the first that brings a request of this method;
 //                               those before it stay open, and hear nothing
 //   NAME accepted PLACE         the same as accept, and the connection stands already: no time passes
 //   NAME refuse                 the endpoint NAME listens no more
@@ -61,9 +63,10 @@
  public:
   net::Seconds Now() const override { return now; }
   std::int64_t WallMicros() const override {
-    return 1'700'000'000'000'000 + static_cast<std::int64_t>(now * 1e6);
+    return 1'700'000'000'000'000 + static_cast<std::int64_t>((now + wall_offset) * 1e6);
   }
   net::Seconds now = 1000;
+  net::Seconds wall_offset = 0;  // by which the wall clock has been stepped
 };
 
 sockaddr_in AnyPort() { return *net::ParseAddress("127.0.0.1:0"); }
@@ -193,6 +196,12 @@
     } else if (first == "jump") {
       clock_.now += std::stod(second) / 1000;
       loop_->RunOnce(0);
+    } else if (first == "step") {
+      clock_.wall_offset += std::stod(second) / 1000;
+    } else if (first == "boot") {
+      constexpr net::Seconds kAfterBoot = 5;
+      clock_.wall_offset += clock_.now - kAfterBoot + std::stod(second) / 1000;
+      clock_.now = kAfterBoot;
     } else if (first == "tear") {
       fs::resize_file(state_ / "journal", fs::file_size(state_ / "journal") - std::stoul(second));
     } else if (first == "wait") {
