Socket calls that fail for a moment are made again; a broken connection is always told

Notices sent one try after another.

Tries of notices overlap: the next one begins 0.2 s after one without an answer, on a connection of its own, three at most, 1 s each; a failure told at once is tried again after 0.05 s, doubled only after ten in a row.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -37,15 +37,16 @@
   // the state folder
   std::size_t disk_bytes = 3'000'000;
   // discovery and notices
-  double watch_heartbeat = 2;    // a watch in order brings a line at least so often
-  double watch_silence = 3.5;    // without a line: then the watch is dead
-  double list_time = 3;          // for the first line of a watch
-  std::size_t watch_tries = 3;   // watches open at once, the one that has brought the list among them
-  double notice_time = 0.2;      // for the answer to notices, doubled like the backoff ...
-  double notice_time_most = 1;   // ... up to this, which is also the time for a connection to come up
-  double notice_backoff = 0.05;  // doubled with each failure in a row ...
-  double notice_backoff_most = 0.5;
-  std::size_t notice_lines = 64;  // in one request
+  double watch_heartbeat = 2;   // a watch in order brings a line at least so often
+  double watch_silence = 3.5;   // without a line: then the watch is dead
+  double list_time = 3;         // for the first line of a watch
+  std::size_t watch_tries = 3;  // watches open at once, the one that has brought the list among them
+  double notice_time = 0.2;  // for the answer to notices, before a further try begins beside it; in all ...
+  double notice_time_most = 1;       // ... this, which is also the time for a connection to come up
+  std::size_t notice_tries = 3;      // out at once
+  double notice_backoff = 0.05;      // after a failure; after ten in a row doubled with each ...
+  double notice_backoff_most = 0.5;  // ... up to this
+  std::size_t notice_lines = 64;     // in one request
   // between relays
   std::size_t datagram_bytes = 256;
   double tier_kept = 120;  // seconds that a zone's stage in the state folder is good for
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -50,7 +50,12 @@
   }
   void OnEvents(std::uint32_t) override {
     signalfd_siginfo info;
-    while (read(fd_, &info, sizeof(info)) == sizeof(info)) (info.ssi_signo == SIGHUP ? reload_ : stop_)();
+    for (;;) {
+      const ssize_t count = read(fd_, &info, sizeof(info));
+      if (count < 0 && errno == EINTR) continue;
+      if (count != sizeof(info)) return;
+      (info.ssi_signo == SIGHUP ? reload_ : stop_)();
+    }
   }
 
  private:
--- a/src/net/datagram.cpp
+++ b/src/net/datagram.cpp
@@ -10,8 +10,16 @@
 #include <system_error>
 #include <utility>
 
+#include "net/socket_error.h"
+
 namespace opalroute::net {
 
+namespace {
+
+constexpr int kErrorsATurn = 16;
+
+}  // namespace
+
 DatagramSocket::DatagramSocket(EventLoop& loop, const sockaddr_in& listen, std::size_t most, Taken taken,
                                Refused refused)
     : loop_(loop),
@@ -37,10 +45,10 @@
 bool DatagramSocket::Send(const sockaddr_in& to, const std::string& bytes) {
   if (bytes.size() > most_) return false;
   const auto* address = reinterpret_cast<const sockaddr*>(&to);
-  // The first try may hear of the refusal of an earlier datagram in place of its own fate.
+  // The first try may hear of the fate of an earlier datagram in place of its own, or be interrupted.
   for (int tries = 0; tries < 2; ++tries) {
     if (sendto(fd_, bytes.data(), bytes.size(), 0, address, sizeof(to)) >= 0) return true;
-    if (errno != ECONNREFUSED) return false;
+    if (errno == EAGAIN || IsShortage(errno)) return false;
   }
   return false;
 }
@@ -48,14 +56,17 @@
 void DatagramSocket::OnEvents(std::uint32_t events) {
   if ((events & (EPOLLIN | EPOLLERR)) == 0) return;
   if (refused_ && (events & EPOLLERR) != 0) ReadErrors();
-  for (;;) {
+  for (int errors = 0; errors < kErrorsATurn;) {
     std::string bytes(most_ + 1, '\0');
     sockaddr_in from{};
     socklen_t size = sizeof(from);
     const ssize_t count =
         recvfrom(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&from), &size);
-    if (count < 0 && (errno == EINTR || errno == ECONNREFUSED)) continue;
-    if (count < 0) return;
+    if (count < 0 && errno == EAGAIN) return;
+    if (count < 0) {  // of an earlier datagram, mostly: what has come still stands behind it
+      ++errors;
+      continue;
+    }
     if (static_cast<std::size_t>(count) > most_) continue;
     bytes.resize(static_cast<std::size_t>(count));
     taken_(from, std::move(bytes));
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -47,9 +47,9 @@
   return epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) == 0;
 }
 
-void EventLoop::Rearm(int fd, EventHandler* handler) {
+bool EventLoop::Rearm(int fd, EventHandler* handler) {
   epoll_event event = EdgesFor(handler);
-  epoll_ctl(epoll_, EPOLL_CTL_MOD, fd, &event);
+  return epoll_ctl(epoll_, EPOLL_CTL_MOD, fd, &event) == 0;
 }
 
 void EventLoop::Remove(int fd) { epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr); }
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -31,8 +31,9 @@
   const Clock& clock() const { return clock_; }
   Seconds Now() const { return clock_.Now(); }
 
+  // Both return false, with errno set, if the system is short of memory.
   bool Add(int fd, EventHandler* handler);    // for reading and writing, edge-triggered
-  void Rearm(int fd, EventHandler* handler);  // raises the edge anew if there still is something to do
+  bool Rearm(int fd, EventHandler* handler);  // raises the edge anew if there still is something to do
   void Remove(int fd);
 
   TimerId At(Seconds when, std::function<void()> due);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -44,6 +44,9 @@
   }
 
   void OnOpen(Connection&) override {
+    // Danger: the other side may have ended it in the same moment. Dropped in silence, nobody would open
+    // another.
+    if (!connection_->SeemsAlive()) return FailToConnect();
     up_ = true;
     --place_.connecting;
     Rest();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -33,7 +33,7 @@
   // Danger: a request may lie in the socket unread. Who sent it is owed an answer.
   bool idle() const {
     return !parser_.begun() && connection_->in().empty() && connection_->out().empty() && !leaving_ &&
-           connection_->SeemsAlive();
+           connection_->HasNothingUnread();
   }
   void ReadOn() { connection_->ReadOn(); }
   void Shut() {
@@ -126,7 +126,7 @@
     timer_ = server_.loop_.At(server_.loop_.Now() + after, [this] {
       timer_ = 0;
       // Danger: bytes may have come since the loop asked. A request that they make whole is owed its answer.
-      if (!leaving_ && !connection_->SeemsAlive()) {
+      if (!leaving_ && !connection_->HasNothingUnread()) {
         connection_->ReadOn();
         if (timer_ != 0 || !connection_->open()) return;
       }
@@ -180,8 +180,9 @@
     const bool reject = room == Room::kNone;
     if (room == Room::kSoon) break;
     if (reject && connections() >= bounds_.connections + bounds_.reject_connections) break;
-    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
+    bool more = false;
+    const int fd = AcceptNext(fd_, more);
+    if (fd < 0 && more) return AcceptAt(loop_.Now() + kAcceptPause);
     if (fd < 0) break;
     clients_.push_back(std::make_unique<Client>(*this, reject));
     if (!clients_.back()->Open(fd, std::prev(clients_.end()))) Drop(*clients_.back());
@@ -198,7 +199,9 @@
 bool HttpServer::SomebodyWaits() const {
   if (fd_ < 0) return false;
   pollfd queue{fd_, POLLIN, 0};
-  return poll(&queue, 1, 0) > 0;
+  int ready = 0;
+  do { ready = poll(&queue, 1, 0); } while (ready < 0 && errno == EINTR);
+  return ready != 0;  // where it can't be told, accept tells it
 }
 
 void HttpServer::AcceptAt(Seconds when) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -54,17 +54,35 @@
 }
 
 Listener::~Listener() {
+  loop_.Cancel(again_);
   loop_.Remove(fd_);
   close(fd_);
 }
 
-void Listener::OnEvents(std::uint32_t) {
-  for (;;) {
-    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
-    if (fd < 0) return;
-    accepted_(fd);
+int AcceptNext(int fd, bool& more) {
+  constexpr int kTries = 16;  // of errors in a row, before others have their turn
+  more = true;
+  for (int i = 0; i < kTries; ++i) {
+    const int accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted >= 0) return accepted;
+    if (errno == EAGAIN) {
+      more = false;
+      return -1;
+    }
+    if (errno != EINTR && errno != ECONNABORTED) return -1;
   }
+  return -1;
+}
+
+void Listener::Accept() {
+  bool more = false;
+  for (int fd = AcceptNext(fd_, more); fd >= 0; fd = AcceptNext(fd_, more)) accepted_(fd);
+  loop_.Cancel(again_);
+  if (!more) return;
+  again_ = loop_.At(loop_.Now() + kAcceptPause, [this] {
+    again_ = 0;
+    Accept();
+  });
 }
 
 }  // namespace opalroute::net
--- a/src/relay/notices.cpp
+++ b/src/relay/notices.cpp
@@ -7,91 +7,126 @@
 
 namespace opalroute {
 
+// One request with the lines that wait, on its way.
+class Notices::Try : public net::HttpClient::Call {
+ public:
+  Try(Notices& notices, std::size_t lines) : notices_(notices), lines_(lines) {
+    timer_ = notices_.loop_.At(notices_.loop_.Now() + notices_.limits_.notice_time_most, [this] {
+      timer_ = 0;
+      notices_.client_.Abandon(*this);
+      notices_.OnNoAnswer(*this, "no answer in time");
+    });
+  }
+  ~Try() override { notices_.loop_.Cancel(timer_); }
+
+  std::size_t lines() const { return lines_; }
+  void Abandon() { notices_.client_.Abandon(*this); }
+
+ private:
+  std::string OnReady() override {
+    std::string body;
+    for (std::size_t i = 0; i < lines_; ++i) body += notices_.waiting_[i].second + "\n";
+    return net::WriteRequest("POST", "/v1/notices", {{"Host", net::FormatAddress(notices_.to_)}}, body);
+  }
+  void OnAnswer(net::HttpMessage& answer) override { notices_.OnAnswer(*this, answer.status); }
+  void OnBroken(net::HttpClient::Broken, int) override { notices_.OnNoAnswer(*this, "connection failed"); }
+
+  Notices& notices_;
+  const std::size_t lines_;
+  net::EventLoop::TimerId timer_ = 0;
+};
+
 Notices::Notices(net::EventLoop& loop, net::HttpClient& client, const sockaddr_in& to, const Limits& limits,
                  Arrived arrived)
-    : loop_(loop),
-      client_(client),
-      to_(to),
-      limits_(limits),
-      arrived_(std::move(arrived)),
-      patience_(limits.notice_time) {}
-
-Notices::~Notices() {
-  if (sending_) client_.Abandon(*this);
-  loop_.Cancel(timer_);
-  loop_.Cancel(retry_);
-}
+    : loop_(loop), client_(client), to_(to), limits_(limits), arrived_(std::move(arrived)) {}
+
+Notices::~Notices() { AbandonAll(); }
 
 void Notices::Add(const std::string& id, const std::string& line) {
   waiting_.emplace_back(id, line);
-  if (!sending_ && retry_ == 0) Send();
+  if (tries_.empty() && next_try_ == 0) Send();
 }
 
 // What is out may have arrived: a notice about a message that is over does no harm.
 void Notices::MoveTo(const sockaddr_in& to) {
-  if (sending_) client_.Abandon(*this);
+  AbandonAll();
   client_.CloseIdle({to_});
   to_ = to;
-  loop_.Cancel(timer_);
-  loop_.Cancel(retry_);
-  sending_ = false;
-  backoff_ = 0;
-  patience_ = limits_.notice_time;
+  failures_ = 0;
   Send();
 }
 
-// Danger: a kept connection may have fallen silent. An end counts for half a second after its time at most,
-// so the first try leaves room for a second one on a new connection.
+void Notices::AbandonAll() {
+  loop_.Cancel(next_try_);
+  for (const auto& tried : tries_) tried->Abandon();
+  for (auto& tried : tries_) loop_.Retire(std::move(tried));
+  tries_.clear();
+}
+
 void Notices::Send() {
   if (waiting_.empty()) return;
-  sending_ = true;
-  timer_ = loop_.At(loop_.Now() + patience_, [this] {
-    timer_ = 0;
-    client_.Abandon(*this);
-    Failed("no answer in time");
-  });
-  client_.Start({to_}, *this);
+  // Danger: a kept connection may have fallen silent, and others with it.
+  if (!tries_.empty()) client_.CloseIdle({to_});
+  if (tries_.size() < limits_.notice_tries) {
+    tries_.push_back(
+        std::make_unique<Try>(*this, std::min(waiting_.size(), singly_ ? 1 : limits_.notice_lines)));
+    Try& tried = *tries_.back();
+    SendAfter(limits_.notice_time);
+    client_.Start({to_}, tried);  // which may fail at once, and then says when the next try is due
+    return;
+  }
+  SendAfter(limits_.notice_time);
 }
 
-std::string Notices::OnReady() {
-  std::string body;
-  out_ = std::min(waiting_.size(), singly_ ? 1 : limits_.notice_lines);
-  for (std::size_t i = 0; i < out_; ++i) body += waiting_[i].second + "\n";
-  return net::WriteRequest("POST", "/v1/notices", {{"Host", net::FormatAddress(to_)}}, body);
+void Notices::SendAfter(net::Seconds pause) {
+  loop_.Cancel(next_try_);
+  next_try_ = loop_.At(loop_.Now() + pause, [this] {
+    next_try_ = 0;
+    Send();
+  });
 }
 
-void Notices::OnAnswer(net::HttpMessage& answer) {
-  const bool unreadable = answer.status == 400;
-  if (answer.status != 204 && !(unreadable && out_ == 1))
-    return Failed(("answer " + std::to_string(answer.status)).c_str());
+void Notices::OnAnswer(Try& tried, int status) {
+  constexpr int kTaken = 204, kUnreadable = 400;
+  const std::size_t lines = tried.lines();
+  const bool unreadable = status == kUnreadable;
+  if (status != kTaken && !(unreadable && lines == 1)) {
+    singly_ = true;  // until one has arrived
+    return OnNoAnswer(tried, ("answer " + std::to_string(status)).c_str());
+  }
   // One line alone that can't be read will never be: the others must not wait for it.
   if (unreadable) log::Error("notice_unreadable", {{"line", waiting_.front().second}});
-  loop_.Cancel(timer_);
-  sending_ = false;
+  Drop(tried);
+  AbandonAll();  // they hold the same lines
   singly_ = singly_ && unreadable;
-  backoff_ = 0;
-  patience_ = limits_.notice_time;
-  for (; out_ > 0; --out_) {
+  failures_ = 0;
+  for (std::size_t i = 0; i < lines; ++i) {
     const std::string id = waiting_.front().first;
     waiting_.pop_front();
     arrived_(id);
   }
-  Send();
+  if (tries_.empty() && next_try_ == 0) Send();
 }
 
-void Notices::OnBroken(net::HttpClient::Broken, int) { Failed("connection failed"); }
+void Notices::OnNoAnswer(Try& tried, const char* why) {
+  Drop(tried);
+  Failed(why);
+}
 
+// A failure that was told at once is tried again soon, for as long as an end that has just come may still be
+// in time.
 void Notices::Failed(const char* why) {
+  constexpr int kSoon = 10;
   log::Warn("notices_wait", {{"lines", waiting_.size()}, {"why", why}});
-  loop_.Cancel(timer_);
-  sending_ = false;
-  singly_ = true;  // until one has arrived
-  patience_ = std::min(limits_.notice_time_most, 2 * patience_);
-  backoff_ = std::min(limits_.notice_backoff_most, std::max(limits_.notice_backoff, 2 * backoff_));
-  retry_ = loop_.At(loop_.Now() + backoff_, [this] {
-    retry_ = 0;
-    Send();
-  });
+  pause_ = ++failures_ <= kSoon ? limits_.notice_backoff : std::min(limits_.notice_backoff_most, 2 * pause_);
+  SendAfter(pause_);
+}
+
+void Notices::Drop(Try& tried) {
+  const auto at = std::find_if(tries_.begin(), tries_.end(),
+                               [&tried](const auto& other) { return other.get() == &tried; });
+  loop_.Retire(std::move(*at));
+  tries_.erase(at);
 }
 
 }  // namespace opalroute
--- a/src/relay/notices.h
+++ b/src/relay/notices.h
@@ -1,35 +1,46 @@
 // Tells the platform how transactions ended that were taken on and not delivered, until it has heard.
+//
+// An end counts for half a second after its time at most, and a connection may be silent without a sign. So
+// tries overlap: one that has no answer in time is left to go on, and the next one begins on a connection of
+// its own.
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <functional>
+#include <list>
+#include <memory>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "config/limits.h"
 #include "net/http_client.h"
 
 namespace opalroute {
 
-class Notices : private net::HttpClient::Call {
+class Notices {
  public:
   using Arrived = std::function<void(const std::string& id)>;
 
   Notices(net::EventLoop& loop, net::HttpClient& client, const sockaddr_in& to, const Limits& limits,
           Arrived arrived);
-  ~Notices() override;
+  ~Notices();
 
   void Add(const std::string& id, const std::string& line);
   void MoveTo(const sockaddr_in& to);  // what has not arrived goes there, at once
   bool empty() const { return waiting_.empty(); }
 
  private:
+  class Try;
+  using Tries = std::list<std::unique_ptr<Try>>;
+
   void Send();
+  void SendAfter(net::Seconds pause);
+  void AbandonAll();
+  void OnAnswer(Try& tried, int status);
+  void OnNoAnswer(Try& tried, const char* why);
   void Failed(const char* why);
-  std::string OnReady() override;
-  void OnAnswer(net::HttpMessage& answer) override;
-  void OnBroken(net::HttpClient::Broken how, int status) override;
+  void Drop(Try& tried);
 
   net::EventLoop& loop_;
   net::HttpClient& client_;
@@ -37,11 +48,11 @@
   const Limits& limits_;
   Arrived arrived_;
   std::deque<std::pair<std::string, std::string>> waiting_;  // id and line, in order
-  std::size_t out_ = 0;                                      // lines of the request that is out
-  bool sending_ = false, singly_ = false;
-  double backoff_ = 0;
-  double patience_;  // with the request that is out
-  net::EventLoop::TimerId timer_ = 0, retry_ = 0;
+  Tries tries_;                                              // out; each holds the first lines that wait
+  bool singly_ = false;     // one line a request: the platform could not read several
+  int failures_ = 0;        // in a row
+  net::Seconds pause_ = 0;  // before the next try, after a failure
+  net::EventLoop::TimerId next_try_ = 0;
 };
 
 }  // namespace opalroute
