State folder: opens are tried again, and told waits outlive writes and reads that fail

Change: WithPatience waits out an error for a second, for opens and whole reads; SharedWaits keeps what the disk has not taken and writes it at the end of each turn, truncates only what has been copied, and calls what it could not read news again. Bans are read with the same patience (not forced: the file stream's own open can't be made to fail here).

--- a/src/journal/durable_file.cpp
+++ b/src/journal/durable_file.cpp
@@ -16,54 +16,53 @@
 constexpr int kRetries = 100;                    // of a call that fails ...
 constexpr std::chrono::milliseconds kPause(10);  // ... with so long in between
 
-// Gives a call that fails for a while its time. Throws std::system_error with errno once that is over.
-class Patience {
- public:
-  explicit Patience(const std::string& what) : what_(what) {}
-  void Failed() {
-    if (errno == EINTR) return;
-    if (++failures_ > kRetries) throw std::system_error(errno, std::generic_category(), what_);
+}  // namespace
+
+void WithPatience(const std::string& what, const std::function<bool()>& attempt) {
+  for (int failures = 0; !attempt();) {
+    if (errno == EINTR) continue;
+    if (++failures > kRetries) throw std::system_error(errno, std::generic_category(), what);
     std::this_thread::sleep_for(kPause);
   }
+}
 
- private:
-  const std::string what_;
-  int failures_ = 0;
-};
-
-}  // namespace
+int OpenOrCreate(const std::string& path) {
+  int fd = -1;
+  WithPatience(path, [&] {
+    fd = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    return fd >= 0;
+  });
+  return fd;
+}
 
 std::string ReadWholeFile(int fd, const std::string& name) {
   std::string bytes;
   char piece[65536];
-  Patience patience(name);
-  for (;;) {
-    const ssize_t count = pread(fd, piece, sizeof(piece), static_cast<off_t>(bytes.size()));
-    if (count == 0) return bytes;
-    if (count > 0)
-      bytes.append(piece, static_cast<std::size_t>(count));
-    else
-      patience.Failed();
-  }
+  ssize_t count = 0;
+  do {
+    WithPatience(name, [&] {
+      count = pread(fd, piece, sizeof(piece), static_cast<off_t>(bytes.size()));
+      return count >= 0;
+    });
+    bytes.append(piece, static_cast<std::size_t>(count));
+  } while (count > 0);
+  return bytes;
 }
 
 std::optional<std::string> ReadFileIfThere(const std::string& path) {
-  Patience patience(path);
-  for (;;) {
-    const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
-    if (fd < 0 && errno == ENOENT) return std::nullopt;
-    if (fd < 0) {
-      patience.Failed();
-      continue;
-    }
-    try {
-      std::string bytes = ReadWholeFile(fd, path);
-      close(fd);
-      return bytes;
-    } catch (...) {
-      close(fd);
-      throw;
-    }
+  int fd = -1;
+  WithPatience(path, [&] {
+    fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    return fd >= 0 || errno == ENOENT;
+  });
+  if (fd < 0) return std::nullopt;
+  try {
+    std::string bytes = ReadWholeFile(fd, path);
+    close(fd);
+    return bytes;
+  } catch (...) {
+    close(fd);
+    throw;
   }
 }
 
--- a/src/journal/durable_file.h
+++ b/src/journal/durable_file.h
@@ -2,11 +2,19 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <string>
 
 namespace opalroute {
 
+// Calls `attempt` until it returns true. An error is waited out for a second; then std::system_error is
+// thrown, with errno as the last attempt left it and with `what`.
+void WithPatience(const std::string& what, const std::function<bool()>& attempt);
+
+// Opens a file for reading and writing, and makes it if it is not there. Waits errors out.
+int OpenOrCreate(const std::string& path);
+
 // All bytes of an open file. A read that fails is tried again for a second; then std::system_error is thrown.
 // A failed read is never taken for the end of the file. `name` stands in the error.
 std::string ReadWholeFile(int fd, const std::string& name);
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -108,9 +108,13 @@
 Journal::Journal(const std::string& folder, std::size_t disk_bytes, std::string file)
     : folder_(folder), file_(std::move(file)), disk_bytes_(disk_bytes - std::min(disk_bytes, 4 * kBlock)) {
   unlink((path() + ".new").c_str());  // a compaction that did not come to its end: the old file stands
-  fd_ = open(path().c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "state folder " + folder);
-  Recover();
+  fd_ = OpenOrCreate(path());
+  try {
+    Recover();
+  } catch (...) {  // the destructor of what is not made does not run
+    close(fd_);
+    throw;
+  }
 }
 
 Journal::~Journal() {
--- a/src/operation/bans.cpp
+++ b/src/operation/bans.cpp
@@ -6,7 +6,6 @@
 
 #include <cerrno>
 #include <fstream>
-#include <system_error>
 #include <utility>
 
 #include "journal/durable_file.h"
@@ -21,7 +20,7 @@
 }  // namespace
 
 Bans::Bans(std::string folder, std::size_t most_bytes) : folder_(std::move(folder)), most_bytes_(most_bytes) {
-  if (!Read(ids_)) throw std::system_error(errno, std::generic_category(), Path(kFile));
+  WithPatience(Path(kFile), [this] { return Read(ids_); });
 }
 
 // Danger: a file that can't be opened just now, for want of descriptors, bans as it did before.
--- a/src/operation/bans.h
+++ b/src/operation/bans.h
@@ -11,8 +11,8 @@
 
 class Bans {
  public:
-  // Reads what was kept; a file that can't be read is a fault: std::system_error. `most_bytes` bounds the
-  // file.
+  // Reads what was kept; a file that can't be read for a second is a fault: std::system_error. `most_bytes`
+  // bounds the file.
   Bans(std::string folder, std::size_t most_bytes);
 
   const std::set<std::string>& ids() const { return ids_; }
--- a/src/operation/seats.cpp
+++ b/src/operation/seats.cpp
@@ -1,13 +1,12 @@
 #include "operation/seats.h"
 
-#include <fcntl.h>
 #include <sys/file.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <stdexcept>
-#include <system_error>
 
+#include "journal/durable_file.h"
 #include "log/log.h"
 
 namespace opalroute::operation {
@@ -15,22 +14,25 @@
 Seats::Seats(const std::string& folder, bool others_may_run) {
   files_.fill(-1);
   for (int i = 0; i < kSeats; ++i) {
-    files_[i] = open((folder + "/seat." + std::to_string(i)).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-    if (files_[i] >= 0) continue;
-    const int error = errno;
-    for (const int fd : files_)
-      if (fd >= 0) close(fd);
-    throw std::system_error(error, std::generic_category(), "state folder " + folder);
+    try {
+      files_[i] = OpenOrCreate(folder + "/seat." + std::to_string(i));
+    } catch (...) {
+      CloseAll();
+      throw;
+    }
   }
   for (int i = 0; i < (others_may_run ? kSeats : 1) && own_ < 0; ++i)
     if (TryLock(i)) own_ = i;
   if (own_ >= 0) return;
-  for (const int fd : files_) close(fd);
+  CloseAll();
   throw std::runtime_error("other processes of this relay run on the state folder " + folder);
 }
 
-Seats::~Seats() {
-  for (const int fd : files_) close(fd);
+Seats::~Seats() { CloseAll(); }
+
+void Seats::CloseAll() {
+  for (const int fd : files_)
+    if (fd >= 0) close(fd);
 }
 
 bool Seats::TryLock(int seat) const {
--- a/src/operation/seats.h
+++ b/src/operation/seats.h
@@ -27,6 +27,7 @@
 
  private:
   bool TryLock(int seat) const;
+  void CloseAll();
 
   std::array<int, kSeats> files_;
   int own_ = -1;
--- a/src/operation/shared_waits.cpp
+++ b/src/operation/shared_waits.cpp
@@ -1,13 +1,13 @@
 #include "operation/shared_waits.h"
 
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <system_error>
+#include <cstring>
 #include <utility>
 
+#include "journal/durable_file.h"
+
 namespace opalroute::operation {
 
 namespace {
@@ -29,34 +29,29 @@
 
 constexpr std::size_t kHead = sizeof(std::uint64_t);
 
-std::vector<Record> ReadAll(int fd, std::size_t most) {
-  std::vector<Record> records(most);
-  const ssize_t bytes = pread(fd, records.data(), most * sizeof(Record), kHead);
-  records.resize(bytes > 0 ? static_cast<std::size_t>(bytes) / sizeof(Record) : 0);
-  records.erase(
-      std::remove_if(records.begin(), records.end(), [](const Record& r) { return r.check != CheckOf(r); }),
-      records.end());
+std::vector<Record> RecordsIn(const std::string& bytes) {
+  std::vector<Record> records;
+  for (std::size_t at = kHead; at + sizeof(Record) <= bytes.size(); at += sizeof(Record)) {
+    Record r;
+    std::memcpy(&r, bytes.data() + at, sizeof(r));
+    if (r.check == CheckOf(r)) records.push_back(r);
+  }
   return records;
 }
 
 int OpenIn(const std::string& folder, int seat) {
-  const std::string path = folder + "/waits." + std::to_string(seat);
-  return open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  return OpenOrCreate(folder + "/waits." + std::to_string(seat));
 }
 
 }  // namespace
 
 SharedWaits::SharedWaits(const std::string& folder, int own_seat, int other_seat, std::size_t most)
     : most_(most), own_(OpenIn(folder, own_seat)), other_(OpenIn(folder, other_seat)) {
-  if (own_ < 0 || other_ < 0) {
-    const int error = errno;
-    if (own_ >= 0) close(own_);
-    throw std::system_error(error, std::generic_category(), "state folder " + folder);
-  }
-  if (pread(own_, &written_, sizeof(written_), 0) != sizeof(written_)) written_ = 0;
-  const std::vector<Record> kept = ReadAll(own_, most_);
-  if (ftruncate(own_, 0) < 0) return;  // slots are given out anew, without gaps
-  for (const Record& r : kept) Tell({r.destination, r.tag, r.until});
+  const std::string bytes = ReadWholeFile(own_, folder);
+  if (bytes.size() >= kHead) std::memcpy(&written_, bytes.data(), kHead);
+  // Written anew from the front, without gaps; what stood behind them goes once all are written.
+  for (const Record& r : RecordsIn(bytes)) Tell({r.destination, r.tag, r.until});
+  if (unwritten_.empty()) (void)!ftruncate(own_, static_cast<off_t>(kHead + slots_.size() * sizeof(Record)));
 }
 
 SharedWaits::~SharedWaits() {
@@ -73,6 +68,7 @@
         return a.second.second < b.second.second;
       });
       place = first->second.first;
+      unwritten_.erase(first->first);
       slots_.erase(first);
     }
     slot = slots_.emplace(Lane{wait.destination, wait.tag}, std::pair(place, std::int64_t{0})).first;
@@ -80,25 +76,42 @@
   auto& [place, until] = slot->second;
   if (wait.until <= until) return;
   until = wait.until;
-  Record r{wait.destination, wait.until, wait.tag, 0};
+  unwritten_.insert(slot->first);
+  WriteOverdue();
+}
+
+bool SharedWaits::Write(const Lane& lane) {
+  const auto& [place, until] = slots_.at(lane);
+  Record r{lane.first, until, lane.second, 0};
   r.check = CheckOf(r);
-  ++written_;
-  // What can't be written is not shared; the own module knows it all the same.
-  if (pwrite(own_, &r, sizeof(r), static_cast<off_t>(kHead + place * sizeof(r))) == sizeof(r))
-    (void)!pwrite(own_, &written_, sizeof(written_), 0);
+  const std::uint64_t count = written_ + 1;
+  if (pwrite(own_, &r, sizeof(r), static_cast<off_t>(kHead + place * sizeof(r))) != sizeof(r) ||
+      pwrite(own_, &count, sizeof(count), 0) != sizeof(count))
+    return false;
+  written_ = count;
+  return true;
+}
+
+void SharedWaits::WriteOverdue() {
+  while (!unwritten_.empty() && Write(*unwritten_.begin())) unwritten_.erase(unwritten_.begin());
 }
 
 bool SharedWaits::HasNews() {
+  WriteOverdue();
   std::uint64_t count = 0;
   if (pread(other_, &count, sizeof(count), 0) != sizeof(count)) count = 0;
   return std::exchange(seen_, count) != count;
 }
 
-std::vector<SharedWait> SharedWaits::Holding(std::int64_t now) const {
+std::vector<SharedWait> SharedWaits::Holding(std::int64_t now) {
   std::vector<SharedWait> waits;
-  for (const int fd : {own_, other_})
-    for (const Record& r : ReadAll(fd, most_))
+  std::string bytes(kHead + most_ * sizeof(Record), '\0');
+  for (const int fd : {own_, other_}) {
+    const ssize_t count = pread(fd, bytes.data(), bytes.size(), 0);
+    if (count < 0) seen_.reset();
+    for (const Record& r : RecordsIn(bytes.substr(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)))))
       if (r.until > now) waits.push_back({r.destination, r.tag, r.until});
+  }
   return waits;
 }
 
--- a/src/operation/shared_waits.h
+++ b/src/operation/shared_waits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,19 +28,23 @@
   SharedWaits& operator=(const SharedWaits&) = delete;
 
   void Tell(const SharedWait& wait);
-  // Whether the other process has written since this was asked last; true at first.
+  // Whether the other process has written since this was asked last; true at first. Writes what could not be
+  // written before.
   bool HasNews();
-  // All that hold still, of both files.
-  std::vector<SharedWait> Holding(std::int64_t now) const;
+  // All that hold still, of both files. What can't be read now is news again.
+  std::vector<SharedWait> Holding(std::int64_t now);
 
  private:
   using Lane = std::pair<std::int64_t, std::uint32_t>;
+  bool Write(const Lane& lane);
+  void WriteOverdue();
 
   const std::size_t most_;
   int own_ = -1, other_ = -1;
   std::uint64_t written_ = 0;                                   // changes of the own file
   std::optional<std::uint64_t> seen_;                           // of the other's, as read last
   std::map<Lane, std::pair<std::size_t, std::int64_t>> slots_;  // of the own file, and until when
+  std::set<Lane> unwritten_;                                    // the disk has not taken them yet
 };
 
 }  // namespace opalroute::operation
--- a/tests/journal_faults_test.cpp
+++ b/tests/journal_faults_test.cpp
@@ -1,22 +1,29 @@
-// The journal on a disk whose calls fail for a while, or write a part: what was taken on is still owed, what
-// has ended has ended, and what is written after the trouble is read again.
+// The journal, and other files of the state folder, on a disk whose calls fail for a while, or write a part:
+// what was taken on is still owed, what has ended has ended, a wait that was told holds, and what is written
+// after the trouble is read again.
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdarg>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <limits>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <system_error>
 #include <utility>
 
 #include "journal/journal.h"
+#include "journal/persistent_clock.h"
+#include "operation/seats.h"
+#include "operation/shared_waits.h"
 
 namespace {
 
@@ -43,7 +50,7 @@
   }
 };
 
-Faults reads, writes, cuts;
+Faults opens, reads, writes, cuts;
 constexpr int kForEver = std::numeric_limits<int>::max();
 
 int Fail(int error) {
@@ -56,6 +63,15 @@
 // In place of the C library's, for this executable alone.
 extern "C" {
 
+int open(const char* path, int flags, ...) {
+  if (opens.Strikes()) return Fail(opens.error);
+  va_list rest;
+  va_start(rest, flags);
+  const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(rest, mode_t) : 0;
+  va_end(rest);
+  return static_cast<int>(syscall(SYS_openat, AT_FDCWD, path, flags, mode));
+}
+
 ssize_t pread(int fd, void* to, size_t size, off_t at) {
   if (reads.Strikes()) return Fail(reads.error);
   return syscall(SYS_pread64, fd, to, size, at);
@@ -99,7 +115,7 @@
 };
 
 struct NoFaults {
-  ~NoFaults() { reads = writes = cuts = Faults{}; }
+  ~NoFaults() { opens = reads = writes = cuts = Faults{}; }
 };
 
 JournalEntry Message(const std::string& id, std::size_t size = 40) {
@@ -259,5 +275,98 @@
   CHECK(Owed(Journal(folder.path(), kDisk)) == std::set<std::string>{"kept", "last"});
 }
 
+TEST_CASE("files of the state folder that can't be opened for a while do not refuse the start") {
+  const net::SystemClock clock;
+  const auto start = [&](const std::string& folder) {
+    const operation::Seats seats(folder, true);
+    PersistentClock(clock, folder).Keep();
+    const Journal journal(folder, kDisk);
+    const operation::SharedWaits waits(folder, seats.own(), seats.other(), 8);
+  };
+  constexpr int kOpened = 6;  // two seats, the clock, the journal, two files of waits
+  for (const int error : {EIO, ENOSPC, EMFILE, ENFILE, EINTR})
+    for (int passes = 0; passes <= kOpened; ++passes) {
+      CAPTURE(error);
+      CAPTURE(passes);
+      const Folder folder;
+      const NoFaults after;
+      opens.Plan(passes, 3, error);
+      CHECK_NOTHROW(start(folder.path()));
+    }
+  const Folder folder;
+  const NoFaults after;
+  opens.Plan(2, kForEver, EIO);
+  CHECK_THROWS_AS(start(folder.path()), std::system_error);
+}
+
+// What two processes of one relay were told: `first` writes under faults, `second` reads.
+class Waits {
+ public:
+  explicit Waits(const std::string& folder) : folder_(folder), second_(folder, 1, 0, kMost) { Restart(); }
+  void Restart() {
+    first_.reset();
+    first_ = std::make_unique<operation::SharedWaits>(folder_, 0, 1, kMost);
+  }
+  void Tell(std::int64_t destination, std::int64_t until) {
+    first_->Tell({destination, 0, until});
+    told_[destination] = std::max(told_[destination], until);
+  }
+  void EndTurn() { first_->HasNews(); }
+  // As a relay does at the end of each turn.
+  void Heed() {
+    if (!second_.HasNews()) return;
+    for (const operation::SharedWait& wait : second_.Holding(0)) heeded_[wait.destination] = wait.until;
+  }
+  bool AllHeeded() const { return heeded_ == told_; }
+
+ private:
+  static constexpr std::size_t kMost = 8;
+  const std::string folder_;
+  std::unique_ptr<operation::SharedWaits> first_;
+  operation::SharedWaits second_;
+  std::map<std::int64_t, std::int64_t> told_, heeded_;
+};
+
+TEST_CASE("a wait that could not be written or read at once is heeded by the other process all the same") {
+  for (int passes = 0; passes < 8; ++passes)
+    for (const int failures : {1, 2, 5})
+      for (const std::size_t part : {std::size_t{0}, std::size_t{7}})
+        for (Faults* faulty : {&writes, &reads}) {
+          CAPTURE(passes);
+          CAPTURE(failures);
+          CAPTURE(part);
+          const Folder folder;
+          const NoFaults after;
+          Waits waits(folder.path());
+          faulty->Plan(passes, failures, part > 0 ? ENOSPC : EIO, part);
+          for (int i = 0; i < 4; ++i) {
+            waits.Tell(i % 3, 1000 + i);
+            waits.Heed();
+          }
+          opens = reads = writes = cuts = Faults{};
+          waits.EndTurn();
+          waits.Heed();
+          CHECK(waits.AllHeeded());
+        }
+}
+
+TEST_CASE("a process that starts while the disk fails keeps the waits that its former one was told") {
+  for (int passes = 0; passes < 6; ++passes)
+    for (Faults* faulty : {&reads, &writes, &cuts}) {
+      CAPTURE(passes);
+      const Folder folder;
+      const NoFaults after;
+      Waits waits(folder.path());
+      for (int i = 0; i < 3; ++i) waits.Tell(i, 1000 + i);
+      faulty->Plan(passes, 3, EIO);
+      waits.Restart();
+      waits.Tell(3, 1003);
+      opens = reads = writes = cuts = Faults{};
+      waits.EndTurn();
+      waits.Heed();
+      CHECK(waits.AllHeeded());
+    }
+}
+
 }  // namespace
 }  // namespace opalroute
