Soak: real processes under drawn faults of signals, lists, system calls, files and clocks

opalroute-lab soak plays seeds of 1 to 12 relays (one seed in ten: 30) for 12 s of load against the laboratory's clients, endpoints and discovery. Drawn and mixed: SIGKILL, SIGTERM with SIGKILL after 3.7 s, SIGHUP in series round them, stops of 0.15 s; troubles of endpoints; drains and replacements, one early; watches that are busy, refused, reset, silent, that begin with an old list or break off in a line; cuts. libopalroute_faults.so, preloaded, makes accept, socket, connect, epoll_wait, reads and writes of sockets, open, pread, pwrite, ftruncate and rename fail or fall short as a plan drawn for each start says, and steps the wall clock. The program knows nothing of it.

Clients use a relay that was told to end until it has. The auditor judges from records of clients, endpoints and discovery: new are a request read and closed unanswered, and a change that counts as told 6 s after it could be had.

Of its own making were, and are mended here: no notice arrives while discovery is cut off, and that relay is excused until 0.5 s after it.

Not drawn yet: half-open and trickling proxies, clients that stop half way, cold endpoints' budgets beyond what the laboratory's lanes judge.

--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -33,6 +33,8 @@
       return "pushed_over";
     case BreachKind::kOverParts:
       return "over_parts";
+    case BreachKind::kClosed:
+      return "closed_unanswered";
     case BreachKind::kOutOfTurn:
       return "out_of_turn";
   }
@@ -204,6 +206,10 @@
   Report(BreachKind::kKeyRanTwice, now, m.relay, message, 0);
 }
 
+void Auditor::ClosedUnanswered(Seconds now, int relay, std::uint64_t message) {
+  Report(BreachKind::kClosed, now, relay, message, 0);
+}
+
 void Auditor::Listed(EndpointId endpoint, DestinationId destination, std::uint64_t lane) {
   places_[endpoint] = {destination, lane};
 }
--- a/lab/experiments/experiments.h
+++ b/lab/experiments/experiments.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace opalroute::lab {
 
@@ -18,4 +19,18 @@
 // So many scripts of faults (lab/script.h), the first drawn from that seed, so many at once.
 int ScriptTable(std::uint64_t first, int count, int jobs);
 
+struct SoakOrder {
+  std::uint64_t first = 1;  // seed
+  int count = 1, jobs = 1;
+  std::string program, library;  // as SoakOptions has them
+  std::string folder;            // of all runs; what was sound is removed again
+};
+
+// Plays the soak (lab/soak/soak.h). Returns 1 if a seed broke a rule or could not be played, 3 if one is
+// void.
+int SoakTable(const SoakOrder& order);
+
+// What the relays' logs under a run's folder say of one message, line by line.
+std::string FollowMessage(const std::string& folder, const std::string& id);
+
 }  // namespace opalroute::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -19,6 +19,7 @@
 #include "lab/report/report.h"
 #include "lab/script.h"
 #include "lab/simulation.h"
+#include "lab/soak/soak.h"
 #include "lab/sockets/play.h"
 #include "lab/statistics.h"
 
@@ -197,6 +198,16 @@
   return 0;
 }
 
+int Soak(SoakOrder order, bool bare) {
+  std::signal(SIGPIPE, SIG_IGN);
+  order.program = RelayProgram(order.program);
+  if (!bare)
+    order.library = (std::filesystem::path(SelfPath()).parent_path() / "libopalroute_faults.so").string();
+  const ScratchFolder scratch;
+  if (order.folder.empty()) order.folder = scratch.path();
+  return SoakTable(order);
+}
+
 // The hold model of the literature on event queues: each event that leaves puts one in, at a drawn time after
 // it.
 template <typename Queue>
@@ -303,6 +314,21 @@
   script->add_option("--count", scripts)->check(CLI::Range(1, 1000000));
   script->add_option("--jobs", jobs, "at once; else one a core")->check(CLI::Range(1, 256));
   script->add_flag("--print", print, "the first one as a scenario's file, and play none");
+  SoakOrder soak_order;
+  std::string follow;
+  CLI::App* soak = app.add_subcommand(
+      "soak",
+      "play seeds with real processes under faults; exit status 1 if one breaks a rule, 3 if one is void");
+  soak->add_option("--seed", soak_order.first, "of the first");
+  soak->add_option("--count", soak_order.count)->check(CLI::Range(1, 100000));
+  soak->add_option("--jobs", soak_order.jobs, "at once")->check(CLI::Range(1, 16));
+  soak->add_option("--relay", soak_order.program, "the relay's program; else the one beside this");
+  soak->add_option("--out", soak_order.folder, "folder for logs; else they go with the run");
+  soak->add_option("--follow", follow,
+                   "play nothing; print what the logs under --out's run say of a message");
+  bool bare = false;
+  soak->add_flag("--no-system-call-faults", bare, "leave the relays' system calls and clocks alone");
+  soak->add_flag("--print", print, "the first seed's scenario as a file, and play none");
   CLI::App* queues = app.add_subcommand("queues", "measure the event queues");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -324,6 +350,15 @@
       return ScriptTable(
           seed, scripts,
           jobs > 0 ? jobs : static_cast<int>(std::max(1U, std::thread::hardware_concurrency())));
+    if (*soak && print) {
+      std::printf("%s\n", DrawSoakScenario(soak_order.first).dump(1).c_str());
+      return 0;
+    }
+    if (*soak && !follow.empty()) {
+      std::fputs(FollowMessage(soak_order.folder, follow).c_str(), stdout);
+      return 0;
+    }
+    if (*soak) return Soak(soak_order, bare);
     if (*learning) return LearningTable(seeds);
     if (*snapshot) return SnapshotTable(destinations, rounds);
     if (*srv) return SrvTable(changes);
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -275,6 +275,22 @@
     r.Number("share", c.share, 0, 1);
     s.pool_changes.push_back(c);
   });
+  root.Each("list_faults", [&](Reader& r) {
+    ListFault f;
+    r.Word<ListFault::Kind>("kind", f.kind,
+                            {{"busy", ListFault::Kind::kBusy},
+                             {"refuse", ListFault::Kind::kRefuse},
+                             {"reset", ListFault::Kind::kReset},
+                             {"silent", ListFault::Kind::kSilent},
+                             {"old", ListFault::Kind::kOld},
+                             {"cut_line", ListFault::Kind::kCutLine}});
+    r.Whole("first", f.first, 0, s.relays - 1);
+    f.last = f.first;
+    r.Whole("last", f.last, f.first, s.relays - 1);
+    r.Number("from_s", f.from, 0, kDay);
+    r.Number("lasts_s", f.lasts, 0, kDay);
+    s.list_faults.push_back(f);
+  });
   root.Each("relay_faults", [&](Reader& r) {
     RelayFault f;
     r.Word<RelayFault::Kind>("kind", f.kind,
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -51,6 +51,20 @@
   bool forgets = false;  // what it kept of tier and zones is gone
 };
 
+// What befalls the watches of some relays, on sockets alone. A new watch meets it, too.
+struct ListFault {
+  enum class Kind {
+    kBusy,    // 503, after a while
+    kRefuse,  // nobody listens
+    kReset,   // watches that are open are reset, at its beginning
+    kSilent,  // watches that are open bring nothing more; new ones are served
+    kOld,     // each watch begins with a list from before the latest changes
+    kCutLine  // a line is cut in its midst, and the connection ends
+  } kind{};
+  int first = 0, last = 0;  // relays, both counted
+  Seconds from = 0, lasts = 0;
+};
+
 struct HandGiven {  // an operator's order of a zone, to one relay
   int relay = 0, zone = 0;
   zones::ByHand what{};
@@ -117,6 +131,7 @@
   bool oracle = false;  // every relay is told each zone's state at once, in place of that
   std::vector<Trouble> troubles;
   std::vector<PoolChange> pool_changes;
+  std::vector<ListFault> list_faults;
   std::vector<RelayFault> relay_faults;
   std::vector<HandGiven> zone_orders;
 };
--- /dev/null
+++ b/lab/soak/soak.cpp
@@ -0,0 +1,272 @@
+#include "lab/soak/soak.h"
+
+#include <cerrno>
+#include <map>
+#include <pcg_random.hpp>
+#include <utility>
+#include <vector>
+
+#include "lab/draw.h"
+#include "lab/scenario.h"
+#include "lab/sockets/play.h"
+
+namespace opalroute::lab {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr double kLasts = 12;     // seconds of arrivals
+constexpr double kQuiet = 1;      // of them at the beginning without troubles
+constexpr double kFrozen = 0.15;  // a relay is held up for so long at most
+constexpr int kZones = 2;
+constexpr int kFewRelays = 12, kManyRelays = 30;
+constexpr int kOneInMany = 10;  // seeds, one has many relays
+
+class Drawer {
+ public:
+  Drawer(std::uint64_t seed, std::uint64_t stream) : random_(seed, stream) {}
+
+ protected:
+  int Below(int n) { return static_cast<int>(random_(static_cast<std::uint32_t>(n))); }
+  bool OneIn(int n) { return Below(n) == 0; }
+  // In hundredths, so that a scenario that is printed and read again is the same.
+  double Rounded(double least, double most) {
+    return static_cast<double>(static_cast<int>(DrawFrom({least, most}, random_) * 100)) / 100;
+  }
+  template <typename Value, std::size_t count>
+  Value OneOf(const Value (&values)[count]) {
+    return values[Below(static_cast<int>(count))];
+  }
+
+  pcg32 random_;
+};
+
+class ScenarioDrawer : private Drawer {
+ public:
+  explicit ScenarioDrawer(std::uint64_t seed)
+      : Drawer(seed, 51), relays_(OneIn(kOneInMany) ? kManyRelays : 1 + Below(kFewRelays)) {}
+
+  json Draw(std::uint64_t seed) {
+    json s = {{"name", "soak" + std::to_string(seed)},
+              {"relays", relays_},
+              {"zones", kZones},
+              {"lasts_s", kLasts},
+              {"load", {{"rate", Rounded(20, 80)}}},
+              {"classes", Classes()},
+              {"partners", Partners()},
+              {"list_late_s", {0, Rounded(0, 1)}},
+              {"settings", {{"ramp_s", Rounded(1, 5)}, {"most_tries", 2 + Below(8)}}}};
+    if (OneIn(2)) s["load"]["bursts"] = {{{"from_s", Moment()}, {"lasts_s", 2}, {"times", 3}}};
+    for (int i = Below(4); i > 0; --i) s["troubles"].push_back(TroubleOf());
+    for (int i = 1 + Below(4); i > 0; --i) AddFaults(s["relay_faults"]);
+    // One at least is early, so that calls go on long after it.
+    for (int i = 1 + Below(2); i > 0; --i)
+      s["pool_changes"].push_back({{"kind", OneIn(2) ? "drain" : "replace"},
+                                   {"at_s", i == 1 ? Rounded(kQuiet, 3) : Moment()},
+                                   {"share", Rounded(0.1, 0.5)}});
+    for (int i = Below(4); i > 0; --i) s["list_faults"].push_back(ListFaultOf());
+    for (int i = Below(3); i > 0; --i) s["links"]["cuts"].push_back(CutOf());
+    return s;
+  }
+
+ private:
+  double Moment() { return Rounded(kQuiet, kLasts - 2); }
+
+  json Classes() {
+    return {{{"name", "safe"},
+             {"effect", "idempotent"},
+             {"aim_s", 0.8},
+             {"deadline_s", 4},
+             {"worth", 1},
+             {"late_share", 0.1},
+             {"share", 0.4}},
+            {{"name", "keyed"},
+             {"effect", "deduplicated"},
+             {"key_window_s", Rounded(1, 6)},
+             {"aim_s", 1.5},
+             {"deadline_s", 6},
+             {"worth", 1},
+             {"late_share", 0.5},
+             {"share", 0.3}},
+            {{"name", "once"},
+             {"effect", "at_most_once"},
+             {"aim_s", 1.5},
+             {"deadline_s", 5},
+             {"worth", 3},
+             {"late_share", 0.5},
+             {"share", 0.3}}};
+  }
+
+  json Partners() {
+    json p = {{"count", 2 + Below(5)},
+              {"endpoints", {1 + Below(2), 3 + Below(2)}},
+              {"apart", Below(3) * 0.5},
+              {"bundle", OneIn(2) ? 5 : 1}};
+    if (OneIn(3)) p["connections"] = {2 + Below(4), 8};
+    if (OneIn(3)) p["latency_s"] = {0.3, 1};
+    return p;
+  }
+
+  json TroubleOf() {
+    const char* const kinds[] = {"shut", "refuse", "hang", "reset", "errors", "slow", "spoilt", "vanish"};
+    json trouble = {{"kind", OneOf(kinds)},
+                    {"share", OneIn(2) ? 1.0 : Rounded(0.2, 1)},
+                    {"from_s", Moment()},
+                    {"lasts_s", Rounded(0.3, 4)}};
+    if (OneIn(2)) trouble["zone"] = Below(kZones);
+    if (OneIn(3)) trouble["chance"] = Rounded(0.1, 1);
+    if (trouble["kind"] == "slow") trouble["factor"] = 2 + Below(6);
+    return trouble;
+  }
+
+  // One fault, or several signals in series.
+  void AddFaults(json& faults) {
+    const int first = Below(relays_), last = OneIn(2) ? first : first + Below(relays_ - first);
+    const double at = Moment();
+    const auto add = [&](const char* kind, double when, double down) {
+      faults.push_back(
+          {{"kind", kind}, {"relay", first}, {"through", last}, {"at_s", when}, {"down_s", down}});
+    };
+    switch (Below(5)) {
+      case 0:
+        return add("kill", at, Rounded(0.05, 2));
+      case 1:
+        return add("stop", at, Rounded(0.05, 1));
+      case 2:
+        for (int i = 0; i < 4; ++i) add("freeze", at + i * 0.4, kFrozen);
+        return;
+      case 3:
+        for (int i = 1 + Below(4); i > 0; --i) add("reload", at + i * 0.1, 0);
+        return;
+      default:
+        for (int i = 0; i < 3; ++i) add("reload", at + i * 0.05, 0);
+        add("stop", at + 0.2, 0.1);
+        for (int i = 0; i < 3; ++i) add("reload", at + 0.3 + i * 0.2, 0);
+    }
+  }
+
+  json ListFaultOf() {
+    const char* const kinds[] = {"busy", "refuse", "reset", "silent", "old", "cut_line"};
+    const int first = Below(relays_);
+    return {{"kind", OneOf(kinds)},
+            {"first", first},
+            {"last", first + Below(relays_ - first)},
+            {"from_s", Rounded(kQuiet, kLasts / 2)},
+            {"lasts_s", Rounded(0.1, 4)}};
+  }
+
+  json CutOf() {
+    const int first = Below(relays_);
+    json cut = {{"what", OneIn(2) ? "discovery" : "endpoints"},
+                {"first", first},
+                {"last", first + Below(relays_ - first)},
+                {"from_s", Moment()},
+                {"lasts_s", Rounded(0.5, 4)}};
+    if (cut["what"] == "endpoints") cut["zone"] = Below(kZones);
+    return cut;
+  }
+
+  const int relays_;
+};
+
+class FaultDrawer : private Drawer {
+ public:
+  FaultDrawer(std::uint64_t seed, int relay, int start)
+      : Drawer(seed,
+               52 + 2 * (static_cast<std::uint64_t>(relay) * 1000 + static_cast<std::uint64_t>(start))) {}
+
+  faults::Plan Draw(const std::string& state_folder) {
+    faults::Plan plan;
+    plan.seed = random_();
+    plan.folder = state_folder;
+    AddInterruptions(plan);
+    for (int i = Below(5); i > 0; --i) plan.episodes.push_back(SocketEpisode());
+    for (int i = Below(3); i > 0; --i) plan.episodes.push_back(FileEpisode());
+    if (OneIn(2))
+      plan.episodes.push_back(EpisodeOf(faults::Call::kLoad, EIO, {0, 0.01}, 0.3));  // at the start
+    for (int i = Below(3); i > 0; --i) plan.steps.push_back(StepOf());
+    return plan;
+  }
+
+ private:
+  using Call = faults::Call;
+
+  // Interrupted waits and short reads and writes are part of every process's life.
+  void AddInterruptions(faults::Plan& plan) {
+    const double ever = 1e9;
+    const double chance = Rounded(0, 0.1);
+    plan.episodes.push_back({Call::kWait, EINTR, 0, ever, chance, 0});
+    plan.episodes.push_back({Call::kRead, EINTR, 0, ever, chance, 0});
+    plan.episodes.push_back({Call::kRead, 0, 0, ever, chance, 1 + static_cast<std::uint64_t>(Below(64))});
+    plan.episodes.push_back({Call::kWrite, EINTR, 0, ever, chance, 0});
+    plan.episodes.push_back({Call::kWrite, 0, 0, ever, chance, 1 + static_cast<std::uint64_t>(Below(64))});
+    plan.episodes.push_back({Call::kConnect, EINTR, 0, ever, chance, 0});
+    plan.episodes.push_back({Call::kAccept, ECONNABORTED, 0, ever, chance, 0});
+  }
+
+  faults::Episode EpisodeOf(Call call, int error, const Range& from, double lasts) {
+    const double begins = DrawFrom(from, random_);
+    return {call, error, begins, begins + lasts, OneIn(2) ? 1 : Rounded(0.2, 0.8), 0};
+  }
+
+  // (accept(2), socket(2), connect(2), tcp(7), send(2))
+  faults::Episode SocketEpisode() {
+    static constexpr std::pair<Call, int> kErrors[] = {
+        {Call::kAccept, ENFILE},      {Call::kAccept, EMFILE},         {Call::kAccept, ENOBUFS},
+        {Call::kAccept, ENETUNREACH}, {Call::kSocket, ENFILE},         {Call::kSocket, ENOBUFS},
+        {Call::kSocket, EMFILE},      {Call::kConnect, EADDRNOTAVAIL}, {Call::kConnect, ENETUNREACH},
+        {Call::kConnect, ENOBUFS},    {Call::kWrite, ENOBUFS},         {Call::kWrite, ENOMEM},
+        {Call::kRead, ENOMEM},        {Call::kWrite, ETIMEDOUT},       {Call::kWrite, EHOSTUNREACH},
+        {Call::kRead, ETIMEDOUT},     {Call::kRead, EHOSTUNREACH},     {Call::kSend, ENOBUFS}};
+    const auto [call, error] = OneOf(kErrors);
+    const bool breaks = error == ETIMEDOUT || error == EHOSTUNREACH;
+    faults::Episode episode = EpisodeOf(call, error, {0.5, kLasts}, breaks ? 0.05 : Rounded(0.02, 1));
+    if (breaks) episode.chance = 0.1;  // of several connections, some
+    return episode;
+  }
+
+  faults::Episode FileEpisode() {
+    static constexpr std::pair<Call, int> kErrors[] = {
+        {Call::kStore, ENOSPC}, {Call::kStore, EIO},   {Call::kStore, 0},    {Call::kCut, EIO},
+        {Call::kOpen, ENFILE},  {Call::kOpen, ENOSPC}, {Call::kRename, EIO}, {Call::kRename, ENOSPC}};
+    const auto [call, error] = OneOf(kErrors);
+    faults::Episode episode = EpisodeOf(call, error, {0, kLasts}, Rounded(0.02, 0.6));
+    episode.bytes = static_cast<std::uint64_t>(Below(40));
+    return episode;
+  }
+
+  faults::ClockStep StepOf() {
+    static constexpr double kSteps[] = {-3600, -10, -1, 1, 10, 3600};
+    return {OneIn(2) ? 0 : Rounded(0, kLasts), OneOf(kSteps)};
+  }
+};
+
+}  // namespace
+
+json DrawSoakScenario(std::uint64_t seed) { return ScenarioDrawer(seed).Draw(seed); }
+
+faults::Plan DrawFaults(std::uint64_t seed, int relay, int start, const std::string& state_folder) {
+  return FaultDrawer(seed, relay, start).Draw(state_folder);
+}
+
+RunResult PlaySoak(std::uint64_t seed, const SoakOptions& options) {
+  SocketOptions play;
+  play.program = options.program;
+  play.relay_arguments = {"--log-level", "debug"};
+  play.folder = options.folder;
+  play.clients_stay = true;
+  // Bounds of the auditor are wider than that.
+  play.most_lateness_p99 = 0.1;
+  play.most_lateness = 0.3;
+  auto starts = std::make_shared<std::map<int, int>>();
+  if (!options.library.empty())
+    play.variables = [seed, starts, library = options.library](int relay, const std::string& state_folder) {
+      const faults::Plan plan = DrawFaults(seed, relay, (*starts)[relay]++, state_folder);
+      return std::map<std::string, std::string>{{"LD_PRELOAD", library},
+                                                {faults::kPlanVariable, plan.Write()}};
+    };
+  return PlayOnSockets(ReadScenario(DrawSoakScenario(seed)), seed, play);
+}
+
+}  // namespace opalroute::lab
--- a/lab/sockets/front.cpp
+++ b/lab/sockets/front.cpp
@@ -59,6 +59,7 @@
   }
   void OnBroken(net::HttpClient::Broken how, int) override {
     if (how == net::HttpClient::Broken::kNotConnected) front_.Avoid(relay_);
+    if (how == net::HttpClient::Broken::kReset && front_.on_closed) front_.on_closed(relay_, id_);
     ComeElsewhere();
   }
   // No answer: what this relay has done or still does under this id counts no more.
--- a/lab/sockets/front.h
+++ b/lab/sockets/front.h
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
@@ -27,6 +28,8 @@
   void SetRelay(int relay, const sockaddr_in& address);
   void SetAlive(int relay, bool alive);  // as the front believes
   void Begin(net::Seconds start);
+  // Told when a connection has ended that had taken a whole request and brought no answer.
+  std::function<void(int relay, std::uint64_t id)> on_closed;
   bool done() const { return done_ && calls_.empty() && coming_ == 0; }
   const LatencyHistogram& answer_times() const { return answer_times_; }  // last byte sent to 202 read
 
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -31,7 +31,9 @@
 constexpr Seconds kFrontSees = 1;      // after this the front notices that a relay has died
 constexpr Seconds kFrontDrains = 0.3;  // after SIGTERM new connections come for so long
 constexpr Seconds kAfterReady = 1.5;   // what was overdue at a restart may be answered until then
+constexpr Seconds kAfterCut = 0.5;     // what was overdue in a cut may be answered until then
 constexpr Seconds kToReady = 5;        // a new start may take so long before what it holds is overdue
+constexpr Seconds kEndSeen = 0.3;      // after its end a process is known to have ended
 constexpr Seconds kToEnd = 5;          // for all relays, once the run is over
 
 Auditor::Rules RulesOf(const Scenario& scenario) {
@@ -60,6 +62,7 @@
             loop_, world_, seed, [this](EndpointId id, int relay) { return endpoints_.AddressOf(id, relay); },
             *this),
         front_(loop_, scenario, traffic_, ledger_, seed) {
+    front_.on_closed = [this](int relay, std::uint64_t id) { CheckClosed(relay, id); };
     if (s_.notes) post_ = std::make_unique<PostThread>(s_.relays, s_.links, seed);
     tally_.result().played = "sockets";
     tally_.result().processes.resize(static_cast<std::size_t>(s_.relays));
@@ -75,6 +78,10 @@
       plan.folder = options.folder + "/relay" + std::to_string(i);
       std::filesystem::remove_all(plan.folder);
       plan.config = [this, i](const std::string& listen) { return ConfigOf(i, listen); };
+      if (options.variables)
+        plan.variables = [this, i](const std::string& state_folder) {
+          return options_.variables(i, state_folder);
+        };
       relays_.push_back(std::make_unique<RelayProcess>(loop_, i, std::move(plan),
                                                        static_cast<RelayProcess::Owner&>(*this)));
     }
@@ -89,6 +96,10 @@
     front_.Begin(start_);
     for (const PoolChange& change : s_.pool_changes)
       loop_.At(start_ + change.at, [this, change] { ChangeList(change); });
+    for (const Cut& cut : s_.links.cuts)
+      loop_.At(start_ + cut.from, [this] {
+        for (int relay = 0; relay < s_.relays; ++relay) ExcuseForCuts(relay);
+      });
     for (const RelayFault& fault : s_.relay_faults)
       loop_.At(start_ + fault.at, [this, fault] { Strike(fault); });
     for (const HandGiven& order : s_.zone_orders) loop_.At(start_ + order.at, [this, order] { Give(order); });
@@ -145,7 +156,7 @@
   void OnReady(int relay) override {
     front_.SetRelay(relay, Of(relay).address());
     front_.SetAlive(relay, true);
-    if (start_ > 0) auditor_.RelayDied(relay, now() + kAfterReady);  // what it held is due from now on
+    if (start_ > 0) RelayDied(relay, now() + kAfterReady);  // what it held is due from now on
   }
   void StartRelay(int relay) {
     Of(relay).Start();
@@ -153,13 +164,35 @@
   }
   void OnEnd(int relay) override {
     if (post_) post_->SetThere(relay, false);
+    if (options_.clients_stay) front_.SetAlive(relay, false);
   }
   void OnCrash(int relay, const std::string& how) override {
     OnEnd(relay);
-    auditor_.RelayDied(relay, 0);
+    RelayDied(relay, 0);
     front_.SetAlive(relay, false);
     tally_.result().crashes.push_back({relay, start_ > 0 ? now() : 0, how, Of(relay).LastLog()});
   }
+  void RelayDied(int relay, Seconds excused) {
+    auditor_.RelayDied(relay, excused);
+    ExcuseForCuts(relay);
+  }
+  // While the platform is out of a relay's reach no notice can arrive there.
+  void ExcuseForCuts(int relay) {
+    for (const Cut& cut : s_.links.cuts) {
+      const bool holds = start_ > 0 && now() >= cut.from && now() < cut.from + cut.lasts;
+      if (cut.what == Cut::What::kDiscovery && holds && relay >= cut.first && relay <= cut.last)
+        auditor_.Excuse(relay, cut.from + cut.lasts + kAfterCut);
+    }
+  }
+  // A client's connection has ended with its request written and not answered. That is the relay's doing if
+  // it goes on running; one whose process ends resets what it has not read.
+  void CheckClosed(int relay, std::uint64_t id) {
+    if (!options_.clients_stay || !Of(relay).serves()) return;
+    const Seconds closed = now();
+    loop_.At(loop_.Now() + kEndSeen, [this, relay, id, closed, starts = Of(relay).starts()] {
+      if (Of(relay).serves() && Of(relay).starts() == starts) auditor_.ClosedUnanswered(closed, relay, id);
+    });
+  }
   void OnTold(int relay, EndpointId endpoint, Listing listing) override {
     if (listing != Listing::kInService) auditor_.ToldDrain(now(), relay, endpoint);
   }
@@ -187,11 +220,12 @@
         return;
       case RelayFault::Kind::kStop:
         relay.Terminate();
-        loop_.At(loop_.Now() + kFrontDrains, [this, number] { front_.SetAlive(number, false); });
+        if (!options_.clients_stay)
+          loop_.At(loop_.Now() + kFrontDrains, [this, number] { front_.SetAlive(number, false); });
         break;
       case RelayFault::Kind::kKill:
         relay.Kill();
-        OnEnd(number);
+        if (post_) post_->SetThere(number, false);
         if (fault.forgets)
           std::filesystem::remove(options_.folder + "/relay" + std::to_string(number) + "/state/tier");
         loop_.At(loop_.Now() + std::min(kFrontSees, fault.down), [this, number] {
@@ -200,7 +234,7 @@
         break;
     }
     // From the signal until it is ready again nothing is overdue; OnReady says until when.
-    auditor_.RelayDied(number, now() + comes + kToReady);
+    RelayDied(number, now() + comes + kToReady);
     loop_.At(loop_.Now() + comes, [this, number] { StartRelay(number); });
   }
 
--- a/lab/sockets/play.h
+++ b/lab/sockets/play.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -17,8 +18,11 @@
   std::string program;                       // of the relay
   std::vector<std::string> relay_arguments;  // after its name
   std::string folder;                        // for configurations, state and logs; made if it is not there
-  std::function<bool()> interrupted;         // asked now and then: true ends the run
-  std::function<void(Seconds)> progress;     // told each second
+  // Of a relay's process, before each of its starts: what stands in its environment beside the relay's own.
+  std::function<std::map<std::string, std::string>(int relay, const std::string& state_folder)> variables;
+  bool clients_stay = false;              // they use a relay that was told to end until it has
+  std::function<bool()> interrupted;      // asked now and then: true ends the run
+  std::function<void(Seconds)> progress;  // told each second
   // Above either the laboratory was too late itself, and the run is void.
   Seconds most_lateness_p99 = 0.02, most_lateness = 0.3;
 };
--- a/lab/sockets/registry.cpp
+++ b/lab/sockets/registry.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kMostOut = 32 << 20;  // 20,000 endpoints have 4 MB of list
 constexpr net::Seconds kBeat = 2;           // an empty line in a silent watch
 constexpr net::Seconds kLookEvery = 0.1;    // whether a cut is over
+constexpr net::Seconds kBusyFor = 0.5;      // a call to a crowded service waits so long for its 503
+constexpr net::Seconds kToldWithin = 6;     // of a change that can be had: it counts as told, heard of or not
 const net::HttpBounds kBounds{16 * 1024, 64, 1 << 20};
 
 const char* NameOf(Listing listing) {
@@ -48,9 +50,18 @@
     StopTimers();
     connection_->Close();
   }
+  // Nothing more comes on this watch.
+  void Mute() { muted_ = true; }
+  void Reset() { connection_->Close(); }
   // A line of the watch: the changes after `since`.
   void Tell(std::size_t since) {
-    connection_->Write(Chunk(registry_.ChangesSince(relay_, since) + "\n"));
+    if (muted_) return;
+    const std::string line = Chunk(registry_.ChangesSince(relay_, since) + "\n");
+    if (registry_.FaultOf(relay_, ListFault::Kind::kCutLine) != nullptr) {
+      connection_->Write(line.substr(0, line.size() / 2));
+      return connection_->CloseWhenWritten();
+    }
+    connection_->Write(line);
     Told(since);
     Beat();
   }
@@ -83,6 +94,13 @@
       Write(200, registry_.WholeList(relay_) + "\n");
       return Told(0);
     }
+    if (registry_.FaultOf(relay_, ListFault::Kind::kBusy) != nullptr) {
+      beat_ = registry_.loop_.At(registry_.loop_.Now() + kBusyFor, [this] {
+        beat_ = 0;
+        Write(503, {});
+      });
+      return;
+    }
     watches_ = true;
     connection_->Write(
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -90,6 +108,8 @@
     const unsigned long generation =
         since == std::string::npos ? 0 : std::strtoul(request.target.c_str() + since + 6, nullptr, 10);
     const View& view = registry_.views_[static_cast<std::size_t>(relay_)];
+    if (registry_.FaultOf(relay_, ListFault::Kind::kOld) != nullptr)
+      connection_->Write(Chunk(registry_.ListBefore(relay_) + "\n"));
     if (generation >= 1 && generation <= view.known + 1) return Tell(generation - 1);
     connection_->Write(Chunk(registry_.WholeList(relay_) + "\n"));
     Told(0);
@@ -124,7 +144,7 @@
     registry_.loop_.Cancel(beat_);
     beat_ = registry_.loop_.At(registry_.loop_.Now() + kBeat, [this] {
       beat_ = 0;
-      if (!registry_.IsCut(relay_)) connection_->Write(Chunk("\n"));
+      if (!registry_.IsCut(relay_) && !muted_) connection_->Write(Chunk("\n"));
       Beat();
     });
   }
@@ -138,7 +158,7 @@
   const int relay_;
   std::unique_ptr<net::Connection> connection_;
   net::HttpParser parser_;
-  bool watches_ = false;
+  bool watches_ = false, muted_ = false;
   std::vector<net::HttpMessage> waiting_;  // for the end of a cut
   net::EventLoop::TimerId beat_ = 0, look_ = 0;
 };
@@ -155,12 +175,81 @@
       sessions_(loop) {
   for (int relay = 0; relay < world.scenario().relays; ++relay) {
     views_.push_back({0, 0, listings_});
-    listeners_.push_back(std::make_unique<net::Listener>(
-        loop, *net::ParseAddress("127.0.0.1:0"),
-        [this, relay](int fd) { sessions_.Adopt(std::make_unique<Session>(*this, relay), fd); }));
+    addresses_.push_back(*net::ParseAddress("127.0.0.1:0"));
+    listeners_.emplace_back();
+    Listen(relay);
   }
 }
 
+void Registry::Listen(int relay) {
+  const auto at = static_cast<std::size_t>(relay);
+  listeners_[at] = std::make_unique<net::Listener>(loop_, addresses_[at], [this, relay](int fd) {
+    sessions_.Adopt(std::make_unique<Session>(*this, relay), fd);
+  });
+  addresses_[at] = listeners_[at]->address();  // the port that it keeps
+}
+
+void Registry::Begin(net::Seconds start) {
+  start_ = start;
+  for (const ListFault& fault : world_.scenario().list_faults)
+    loop_.At(start + fault.from, [this, fault] { Strike(fault); });
+}
+
+void Registry::Strike(const ListFault& fault) {
+  for (int relay = fault.first; relay <= fault.last; ++relay) {
+    const std::vector<Session*> watches = WatchesOf(relay);
+    switch (fault.kind) {
+      case ListFault::Kind::kRefuse:
+        listeners_[static_cast<std::size_t>(relay)].reset();
+        loop_.At(loop_.Now() + fault.lasts, [this, relay] {
+          if (!listeners_[static_cast<std::size_t>(relay)]) Listen(relay);
+        });
+        [[fallthrough]];
+      case ListFault::Kind::kReset:
+      case ListFault::Kind::kOld:
+      case ListFault::Kind::kBusy:  // whose watches are ended, and asked for anew
+        for (Session* session : watches) sessions_.Drop(*session);
+        break;
+      case ListFault::Kind::kSilent:
+        for (Session* session : watches) session->Mute();
+        break;
+      case ListFault::Kind::kCutLine:
+        break;
+    }
+  }
+}
+
+const ListFault* Registry::FaultOf(int relay, ListFault::Kind kind) const {
+  if (start_ <= 0) return nullptr;
+  const Seconds now = loop_.Now() - start_;
+  for (const ListFault& fault : world_.scenario().list_faults)
+    if (fault.kind == kind && relay >= fault.first && relay <= fault.last && now >= fault.from &&
+        now < fault.from + fault.lasts)
+      return &fault;
+  return nullptr;
+}
+
+bool Registry::CanBeReached(int relay) const {
+  return !IsCut(relay) && listeners_[static_cast<std::size_t>(relay)] != nullptr;
+}
+
+std::vector<Registry::Session*> Registry::WatchesOf(int relay) const {
+  std::vector<Session*> watches;
+  for (const auto& [key, session] : sessions_.all())
+    if (session->relay() == relay && session->watches()) watches.push_back(key);
+  return watches;
+}
+
+// A change binds the relay some time after it could be had, whatever became of the calls for it.
+void Registry::TellAtLatest(int relay, std::size_t change, net::Seconds reached_since) {
+  const Seconds now = loop_.Now();
+  if (!CanBeReached(relay)) reached_since = now;
+  if (now >= reached_since + kToldWithin)
+    return owner_.OnTold(relay, changes_[change].endpoint, changes_[change].listing);
+  loop_.At(now + kLookEvery,
+           [this, relay, change, reached_since] { TellAtLatest(relay, change, reached_since); });
+}
+
 Registry::~Registry() = default;
 
 bool Registry::IsCut(int relay) const {
@@ -190,6 +279,27 @@
          "]}";
 }
 
+// As it stood before the latest few changes.
+std::string Registry::ListBefore(int relay) const {
+  constexpr std::size_t kChangesBack = 3;
+  const View& view = views_[static_cast<std::size_t>(relay)];
+  const std::size_t known = view.known - std::min(view.known, kChangesBack);
+  std::vector<Listing> listings(view.listings.size(), Listing::kInService);
+  std::vector<bool> listed(view.listings.size(), true);
+  for (std::size_t i = 0; i < view.known; ++i) {
+    const Change& change = changes_[i];
+    const std::size_t at = change.endpoint - 1;
+    // New ones come in service; what is not there yet is left out.
+    if (i >= known && change.listing == Listing::kInService) listed[at] = false;
+    if (i < known) listings[at] = change.listing;
+  }
+  std::string rows;
+  for (EndpointId id = 1; id <= listings.size(); ++id)
+    if (listed[id - 1] && listings[id - 1] != Listing::kGone)
+      rows += (rows.empty() ? "" : ",") + Row(id, listings[id - 1], relay);
+  return "{\"generation\":" + std::to_string(known + 1) + ",\"reset\":true,\"instances\":[" + rows + "]}";
+}
+
 std::string Registry::ChangesSince(int relay, std::size_t since) const {
   const View& view = views_[static_cast<std::size_t>(relay)];
   std::string rows;
@@ -226,10 +336,9 @@
       view.listings.resize(changes_[i].endpoint, Listing::kGone);
     view.listings[changes_[i].endpoint - 1] = changes_[i].listing;
   }
-  std::vector<Session*> watching;  // one that turns out to be dead drops out meanwhile
-  for (const auto& [key, session] : sessions_.all())
-    if (session->relay() == relay && session->watches()) watching.push_back(key);
-  for (Session* session : watching) session->Tell(since);
+  for (std::size_t i = since; i < change; ++i) TellAtLatest(relay, i, loop_.Now());
+  // Copied: one that turns out to be dead drops out meanwhile.
+  for (Session* session : WatchesOf(relay)) session->Tell(since);
 }
 
 }  // namespace opalroute::lab
--- a/lab/sockets/registry.h
+++ b/lab/sockets/registry.h
@@ -29,10 +29,10 @@
   Registry(net::EventLoop& loop, const World& world, std::uint64_t seed,
            std::function<std::string(EndpointId, int relay)> address_of, Owner& owner);
   // The run's times, by which cuts hold, count from here.
-  void Begin(net::Seconds start) { start_ = start; }
+  void Begin(net::Seconds start);
   ~Registry();
 
-  sockaddr_in address(int relay) const { return listeners_[static_cast<std::size_t>(relay)]->address(); }
+  sockaddr_in address(int relay) const { return addresses_[static_cast<std::size_t>(relay)]; }
   // A change; each relay's watch is told after a lateness of its own.
   void Publish(EndpointId endpoint, Listing listing);
   Listing ListingOf(EndpointId endpoint) const { return listings_[endpoint - 1]; }
@@ -52,8 +52,15 @@
   };
   void Advance(int relay, std::size_t change);
   bool IsCut(int relay) const;
+  void Strike(const ListFault& fault);
+  const ListFault* FaultOf(int relay, ListFault::Kind kind) const;  // that holds now, or null
+  bool CanBeReached(int relay) const;
+  void Listen(int relay);
+  void TellAtLatest(int relay, std::size_t change, net::Seconds reached_since);
+  std::vector<Session*> WatchesOf(int relay) const;
   std::string Row(EndpointId endpoint, Listing listing, int relay) const;
   std::string ChangesSince(int relay, std::size_t since) const;
+  std::string ListBefore(int relay) const;
 
   net::EventLoop& loop_;
   const World& world_;
@@ -61,11 +68,12 @@
   const std::function<std::string(EndpointId, int)> address_of_;
   Owner& owner_;
   const Links links_;
-  net::Seconds start_ = 0;         // 0: it has not begun
-  std::vector<Listing> listings_;  // by endpoint
-  std::vector<Change> changes_;    // generation: their number, plus one
-  std::vector<View> views_;        // by relay
-  std::vector<std::unique_ptr<net::Listener>> listeners_;
+  net::Seconds start_ = 0;                                 // 0: it has not begun
+  std::vector<Listing> listings_;                          // by endpoint
+  std::vector<Change> changes_;                            // generation: their number, plus one
+  std::vector<View> views_;                                // by relay
+  std::vector<std::unique_ptr<net::Listener>> listeners_;  // by relay; none while it refuses
+  std::vector<sockaddr_in> addresses_;
   Sessions<Session> sessions_;
 };
 
--- a/lab/sockets/relay_process.cpp
+++ b/lab/sockets/relay_process.cpp
@@ -78,11 +78,12 @@
   WriteConfig();
   std::vector<std::string> arguments = plan_.arguments;
   if (pages_) arguments.insert(arguments.end(), {"--admin-listen", net::FormatAddress(pages_->address())});
-  process_ = std::make_unique<Process>(
-      plan_.program, arguments,
-      std::map<std::string, std::string>{{"EDGE_CONFIG", plan_.folder + "/config.json"},
-                                         {"EDGE_STATE", plan_.folder + "/state"}},
-      plan_.folder + "/log");
+  ++starts_;
+  const std::string state = plan_.folder + "/state";
+  std::map<std::string, std::string> variables;
+  if (plan_.variables) variables = plan_.variables(state);
+  variables.insert({{"EDGE_CONFIG", plan_.folder + "/config.json"}, {"EDGE_STATE", state}});
+  process_ = std::make_unique<Process>(plan_.program, arguments, variables, plan_.folder + "/log");
 }
 
 void RelayProcess::Poll() {
--- a/lab/sockets/relay_process.h
+++ b/lab/sockets/relay_process.h
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -36,6 +37,8 @@
     bool has_pages = false;              // it gets an address for operators' questions
     std::string folder;                  // of its own: config.json, state/, log
     std::function<nlohmann::json(const std::string& listen)> config;
+    // Asked at each start: what stands in its environment beside the relay's own.
+    std::function<std::map<std::string, std::string>(const std::string& state_folder)> variables;
   };
   RelayProcess(net::EventLoop& loop, int number, Plan plan, Owner& owner);
   ~RelayProcess();
@@ -51,6 +54,8 @@
 
   bool running() const { return process_ != nullptr; }
   bool ready() const { return ready_; }
+  bool serves() const { return running() && ready_ && !stopping_; }
+  int starts() const { return starts_; }  // so far
   const sockaddr_in& address() const { return listen_.address(); }
   std::optional<ProcessSample> Sample() const;
   std::string LastLog() const;
@@ -73,6 +78,7 @@
   std::unique_ptr<Check> check_;
   std::unique_ptr<Posted> posted_;  // the latest order, until it is answered
   bool ready_ = false, stopping_ = false, frozen_ = false;
+  int starts_ = 0;
   net::Seconds launched_ = 0, stopped_ = 0;
 };
 
--- a/tests/lab_sockets_test.cpp
+++ b/tests/lab_sockets_test.cpp
@@ -12,8 +12,10 @@
 
 #include "config/fields.h"
 #include "lab/capacity/raw.h"
+#include "lab/faults/plan.h"
 #include "lab/report/report.h"
 #include "lab/simulation.h"
+#include "lab/soak/soak.h"
 #include "lab/sockets/endpoints.h"
 #include "lab/sockets/loopback.h"
 #include "lab/sockets/play.h"
@@ -375,6 +377,46 @@
   CHECK(AddressTaker(folder / "relay").error() == EADDRINUSE);
 }
 
+// A quiet day whose relays' reads from sockets may fail.
+RunResult PlayWithReads(const Folder& folder, int error) {
+  SocketOptions options = OptionsIn(folder / "run");
+  options.clients_stay = true;
+  options.most_lateness = options.most_lateness_p99 = 100;  // it is about connections that end
+  options.variables = [error](int, const std::string& state_folder) {
+    faults::Plan plan;
+    plan.seed = 5;
+    plan.folder = state_folder;
+    plan.episodes.push_back({faults::Call::kRead, error, 2, 4, 0.5, 0});
+    return std::map<std::string, std::string>{{"LD_PRELOAD", FAULTS_LIBRARY},
+                                              {faults::kPlanVariable, plan.Write()}};
+  };
+  json day = SmallDay();
+  day.erase("troubles");
+  return PlayOnSockets(ReadScenario(day), 1, options);
+}
+
+TEST_CASE("lab: a relay that closes a connection with a request read and not answered breaks a rule") {
+  const Folder folder;
+  // No error of a read that passes: the relay ends the connection, and its client sees that.
+  CHECK(!PlayWithReads(folder, EIO).breaches.empty());
+  const RunResult short_of_memory = PlayWithReads(folder, ENOMEM);
+  for (const Breach& breach : short_of_memory.breaches) MESSAGE(NameOf(breach.kind), " ", breach.trace);
+  CHECK(short_of_memory.breaches.empty());
+}
+
+TEST_CASE("lab: a plan of faults is read as it was written, and a seed draws the same one again") {
+  for (std::uint64_t seed = 1; seed < 20; ++seed) {
+    const std::string text = DrawFaults(seed, 3, 1, "/state").Write();
+    CHECK(faults::Plan::Read(text).Write() == text);
+    CHECK(DrawFaults(seed, 3, 1, "/state").Write() == text);
+    CHECK(DrawFaults(seed, 3, 2, "/state").Write() != text);
+    CHECK(DrawSoakScenario(seed) == DrawSoakScenario(seed));
+    CHECK_NOTHROW(ReadScenario(DrawSoakScenario(seed)));
+  }
+  CHECK_THROWS_AS(faults::Plan::Read("5 /state fails 99 1 0 1 1 0"), std::invalid_argument);
+  CHECK_THROWS_AS(faults::Plan::Read("5 /state breaks"), std::invalid_argument);
+}
+
 TEST_CASE("lab: a relay that does not come up ends the run with its log") {
   const Folder folder;
   SocketOptions options = OptionsIn(folder / "run");
