What this relay could not send for want of sockets or disk is no try; rude clients in the soak

Seen: with no socket to be had (or no room for the attempt's record) each attempt came back as not sent, counted against the most tries and was made again at the next tick: a message with 12 tries was handed back untried 0.11 s into a shortage, with 2 tries after 0.01 s (measured on the module alone). Lines at fault: ServerFlow::OnBroken (kNoRoom as kNotSent), Calls::MayLeave (a failed record likewise), Retry and Enqueue in rules.cpp.

Change: Outcome::kNotLeft says that the attempt never left this relay. It is no try, says nothing of the endpoint, and is made again with backoff that starts at a tick and grows to about 30 (kShortageTicks). MayLeave and RecordAttempt are two questions now.

Tests: NotLeftTest plays 2 s of it for each effect with 2 and 12 tries; flow_test forces both places. The kind of outcome is new, so on the code before they do not compile; the measure above is that code's.

--- a/include/opalroute/rules.h
+++ b/include/opalroute/rules.h
@@ -101,7 +101,9 @@
   kReset,
   kCancelled,
   kNotSent,
-  kCrowded  // turned away for want of connections: neither a limit nor an outage
+  kCrowded,  // turned away for want of connections: neither a limit nor an outage
+  kNotLeft   // this relay could not send it just now, for want of a socket or of room on its disk: it is no
+             // try
 };
 
 struct ListEntry {
--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -33,6 +33,8 @@
       return "pushed_over";
     case BreachKind::kOverParts:
       return "over_parts";
+    case BreachKind::kStalled:
+      return "stalled_client";
     case BreachKind::kClosed:
       return "closed_unanswered";
     case BreachKind::kOutOfTurn:
@@ -210,6 +212,8 @@
   Report(BreachKind::kClosed, now, relay, message, 0);
 }
 
+void Auditor::Stalled(Seconds now, int relay) { Report(BreachKind::kStalled, now, relay, 0, 0); }
+
 void Auditor::Listed(EndpointId endpoint, DestinationId destination, std::uint64_t lane) {
   places_[endpoint] = {destination, lane};
 }
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -28,6 +28,7 @@
   kForeign,        // sent to an endpoint of another destination, or one that no list has named
   kPushedOver,     // a returning lane fell over, two thirds of it by relays that had seen the outage
   kOverParts,      // relays together hold more than a whole and one part
+  kStalled,        // a client that stopped in its request heard no end in time
   kClosed,         // a request was read, and its connection closed with no answer
   kOutOfTurn       // sent though an earlier one of its key was not over, or the key had to rest
 };
@@ -71,6 +72,7 @@
   void Ran(Seconds now, std::uint64_t message);  // at the partner
   // A client's connection was closed after its request, without an answer.
   void ClosedUnanswered(Seconds now, int relay, std::uint64_t message);
+  void Stalled(Seconds now, int relay);
   // The time of each message is checked once it is past.
   void Until(Seconds now);
 
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -275,6 +275,17 @@
     r.Number("share", c.share, 0, 1);
     s.pool_changes.push_back(c);
   });
+  root.Each("rude_clients", [&](Reader& r) {
+    RudePlan p;
+    r.Word<RudePlan::Kind>("kind", p.kind,
+                           {{"idle", RudePlan::Kind::kIdle},
+                            {"half_head", RudePlan::Kind::kHalfHead},
+                            {"half_body", RudePlan::Kind::kHalfBody}});
+    r.Whole("relay", p.relay, 0, s.relays - 1);
+    r.Whole("count", p.count, 1, 10000);
+    r.Number("at_s", p.at, 0, kDay);
+    s.rude_clients.push_back(p);
+  });
   root.Each("list_faults", [&](Reader& r) {
     ListFault f;
     r.Word<ListFault::Kind>("kind", f.kind,
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -65,6 +65,17 @@
   Seconds from = 0, lasts = 0;
 };
 
+// Clients of one relay that finish no request, on sockets alone.
+struct RudePlan {
+  enum class Kind {
+    kIdle,      // say nothing
+    kHalfHead,  // stop in a request's head
+    kHalfBody   // stop in its body
+  } kind{};
+  int relay = 0, count = 1;
+  Seconds at = 0;
+};
+
 struct HandGiven {  // an operator's order of a zone, to one relay
   int relay = 0, zone = 0;
   zones::ByHand what{};
@@ -132,6 +143,7 @@
   std::vector<Trouble> troubles;
   std::vector<PoolChange> pool_changes;
   std::vector<ListFault> list_faults;
+  std::vector<RudePlan> rude_clients;
   std::vector<RelayFault> relay_faults;
   std::vector<HandGiven> zone_orders;
 };
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -21,6 +21,7 @@
 constexpr double kFrozen = 0.15;  // a relay is held up for so long at most
 constexpr int kZones = 2;
 constexpr int kFewRelays = 12, kManyRelays = 30;
+constexpr int kCrowd = 520;     // more connections than a relay keeps
 constexpr int kOneInMany = 10;  // seeds, one has many relays
 
 class Drawer {
@@ -65,6 +66,7 @@
       s["pool_changes"].push_back({{"kind", OneIn(2) ? "drain" : "replace"},
                                    {"at_s", i == 1 ? Rounded(kQuiet, 3) : Moment()},
                                    {"share", Rounded(0.1, 0.5)}});
+    for (int i = Below(4); i > 0; --i) s["rude_clients"].push_back(RudeClientsOf());
     for (int i = Below(4); i > 0; --i) s["list_faults"].push_back(ListFaultOf());
     for (int i = Below(3); i > 0; --i) s["links"]["cuts"].push_back(CutOf());
     return s;
@@ -146,6 +148,16 @@
     }
   }
 
+  // Few that stop in a request, or a crowd that says nothing.
+  json RudeClientsOf() {
+    const char* const kinds[] = {"idle", "half_head", "half_body"};
+    const int kind = Below(3);
+    return {{"kind", kinds[kind]},
+            {"relay", Below(relays_)},
+            {"count", kind == 0 && OneIn(2) ? kCrowd : 1 + Below(20)},
+            {"at_s", Moment()}};
+  }
+
   json ListFaultOf() {
     const char* const kinds[] = {"busy", "refuse", "reset", "silent", "old", "cut_line"};
     const int first = Below(relays_);
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -15,6 +15,7 @@
 #include "lab/sockets/registry.h"
 #include "lab/sockets/relay_config.h"
 #include "lab/sockets/relay_process.h"
+#include "lab/sockets/rude_clients.h"
 #include "lab/tally.h"
 #include "lab/traffic.h"
 #include "net/address.h"
@@ -61,7 +62,8 @@
         registry_(
             loop_, world_, seed, [this](EndpointId id, int relay) { return endpoints_.AddressOf(id, relay); },
             *this),
-        front_(loop_, scenario, traffic_, ledger_, seed) {
+        front_(loop_, scenario, traffic_, ledger_, seed),
+        rude_clients_(loop_, [this](int relay) { auditor_.Stalled(now(), relay); }) {
     front_.on_closed = [this](int relay, std::uint64_t id) { CheckClosed(relay, id); };
     if (s_.notes) post_ = std::make_unique<PostThread>(s_.relays, s_.links, seed);
     tally_.result().played = "sockets";
@@ -96,6 +98,10 @@
     front_.Begin(start_);
     for (const PoolChange& change : s_.pool_changes)
       loop_.At(start_ + change.at, [this, change] { ChangeList(change); });
+    for (const RudePlan& rude : s_.rude_clients)
+      loop_.At(start_ + rude.at, [this, rude] {
+        rude_clients_.Connect(rude.relay, Of(rude.relay).address(), rude.kind, rude.count);
+      });
     for (const Cut& cut : s_.links.cuts)
       loop_.At(start_ + cut.from, [this] {
         for (int relay = 0; relay < s_.relays; ++relay) ExcuseForCuts(relay);
@@ -354,6 +360,7 @@
   Endpoints endpoints_;
   Registry registry_;
   Front front_;
+  RudeClients rude_clients_;
   std::unique_ptr<PostThread> post_;  // where relays may send one another datagrams
   std::vector<std::unique_ptr<RelayProcess>> relays_;
   LatencyHistogram lateness_;
--- a/src/parts.h
+++ b/src/parts.h
@@ -80,7 +80,9 @@
   bool over_share = false, over = false, released = false;  // released: no longer held
   Seconds handed_in = 0, deadline = 0, not_before = 0, expiry = kNever;
   std::vector<Attempt> attempts;
-  int out = 0, timeouts = 0;
+  int out = 0, timeouts = 0, not_left = 0;
+  // Attempts that count against the most that there may be.
+  int TriesUsed() const { return static_cast<int>(attempts.size()) - not_left; }
   enum class Where { kWaiting, kDelayed, kQueuedByKey, kOut } where = Where::kOut;
   BucketKey bucket{};
 };
@@ -97,7 +99,21 @@
 
 inline bool ProvesNeverRan(Outcome o) {
   return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kNotSent ||
-         o == Outcome::kCrowded;
+         o == Outcome::kCrowded || o == Outcome::kNotLeft;
+}
+
+// After these a message waits for an endpoint again and for nothing else: a lane's own backoff keeps it back,
+// or the endpoint has had its time.
+inline bool IsRetriedAtOnce(Outcome o) {
+  return o == Outcome::kFull || o == Outcome::kTimeout || o == Outcome::kNotSent || o == Outcome::kCancelled;
+}
+
+// Of the settings' tick: the least that a further attempt's backoff grows from where one could not leave.
+constexpr double kShortageTicks = 8;
+
+// Whether nothing of the endpoint can be learnt from it.
+inline bool SaysNothing(Outcome o) {
+  return o == Outcome::kCancelled || o == Outcome::kNotSent || o == Outcome::kNotLeft;
 }
 
 }  // namespace opalroute
--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -12,7 +12,7 @@
 
 const char* NameOf(Outcome outcome) {
   static const char* const names[] = {"served", "error",     "full",     "timeout", "unconnected",
-                                      "reset",  "cancelled", "not_sent", "crowded"};
+                                      "reset",  "cancelled", "not_sent", "crowded", "not_left"};
   return names[static_cast<int>(outcome)];
 }
 
@@ -101,26 +101,32 @@
 }
 
 bool Calls::MayLeave(const ServerFlow& flow, const ServerFlow::Member& member) {
-  Transaction& t = transactions_.At(member.message);
-  if (const char* why = WhyNotLeave(flow, member, t)) {
-    ++counters_.not_left;
-    LogChoice("attempt_not_sent", flow, member, why);
-    return false;
-  }
-  LogChoice("attempt_sent", flow, member, "chosen");
+  const char* why = WhyNotLeave(flow, member, transactions_.At(member.message));
+  if (why == nullptr) return true;
+  ++counters_.not_left;
+  LogChoice("attempt_not_sent", flow, member, why);
+  return false;
+}
+
+// What a restart would not know must not run.
+bool Calls::RecordAttempt(const ServerFlow& flow, const ServerFlow::Member& member) {
   const EndpointTable::Endpoint& endpoint = endpoints_.At(flow.endpoint());
   JournalAttempt attempt;
   attempt.endpoint = endpoint.id;
   attempt.zone = config_.zones.empty() ? "" : config_.zones[endpoint.zone];
   attempt.sent_at = clock_.Micros();
-  return transactions_.RecordAttempt(t, member.attempt,
-                                     attempt);  // what a restart would not know must not run
+  const bool recorded =
+      transactions_.RecordAttempt(transactions_.At(member.message), member.attempt, attempt);
+  LogChoice(recorded ? "attempt_sent" : "attempt_not_sent", flow, member,
+            recorded ? "chosen" : "not recorded");
+  return recorded;
 }
 
 void Calls::Count(Outcome outcome) {
   long* const counts[] = {&counters_.served,    &counters_.errors,         &counters_.full,
                           &counters_.timeouts,  &counters_.connect_failed, &counters_.resets,
-                          &counters_.cancelled, &counters_.not_sent,       &counters_.crowded};
+                          &counters_.cancelled, &counters_.not_sent,       &counters_.crowded,
+                          &counters_.not_sent};
   ++*counts[static_cast<int>(outcome)];
 }
 
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -39,6 +39,7 @@
   using Batch = std::vector<ServerFlow::Member>;
 
   bool MayLeave(const ServerFlow& flow, const ServerFlow::Member& member) override;
+  bool RecordAttempt(const ServerFlow& flow, const ServerFlow::Member& member) override;
   void OnOutcome(const ServerFlow& flow, const ServerFlow::Member& member,
                  const AttemptOutcome& outcome) override;
   void OnWritten(int messages) override { counters_.upstream_tries += messages; }
--- a/src/relay/server_flow.cpp
+++ b/src/relay/server_flow.cpp
@@ -143,6 +143,8 @@
 std::string ServerFlow::OnReady() {
   for (Member& m : members_)
     if (m.waits && !owner_.MayLeave(*this, m)) Settle(m, Outcome::kNotSent);
+  for (Member& m : members_)
+    if (m.waits && !owner_.RecordAttempt(*this, m)) Settle(m, Outcome::kNotLeft);
   std::vector<const Member*> leave;
   for (const Member& m : members_)
     if (m.waits) leave.push_back(&m);
@@ -249,7 +251,7 @@
 }
 
 void ServerFlow::OnBroken(HttpClient::Broken how, int status) {
-  if (how == HttpClient::Broken::kNoRoom) return SettleAll(Outcome::kNotSent);
+  if (how == HttpClient::Broken::kNoRoom) return SettleAll(Outcome::kNotLeft);
   if (how != HttpClient::Broken::kReset) return SettleAll(Outcome::kConnectFailed);
   // A first line with 200 is a delivery, whatever becomes of the rest; of several the whole answer counts.
   SettleAll(status == 200 && !batch_ ? Outcome::kServed : Outcome::kReset);
@@ -299,7 +301,7 @@
 
 void Probing::OnBroken(HttpClient::Broken how, int) {
   Finish(how == HttpClient::Broken::kReset    ? Outcome::kReset
-         : how == HttpClient::Broken::kNoRoom ? Outcome::kNotSent
+         : how == HttpClient::Broken::kNoRoom ? Outcome::kNotLeft
                                               : Outcome::kConnectFailed);
 }
 
--- a/src/relay/server_flow.h
+++ b/src/relay/server_flow.h
@@ -26,6 +26,8 @@
     virtual ~Owner() = default;
     // Just before the first byte. False: this attempt may not leave any more.
     virtual bool MayLeave(const ServerFlow& flow, const Member& member) = 0;
+    // Then, before the first byte. False: it could not be recorded, and must not leave now.
+    virtual bool RecordAttempt(const ServerFlow& flow, const Member& member) = 0;
     virtual void OnWritten(int messages) = 0;  // so many have left whole
     virtual void OnOutcome(const ServerFlow& flow, const Member& member, const AttemptOutcome& outcome) = 0;
     virtual void OnServedLate(MessageId message) = 0;  // it had had its outcome before
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -300,7 +300,7 @@
 
   void Enqueue(Message& m) {
     const auto bounds = BoundsOf(m);
-    if (!bounds || bounds->until <= now_ || Count(m.attempts) >= s_.most_tries) {
+    if (!bounds || bounds->until <= now_ || m.TriesUsed() >= s_.most_tries) {
       End(m);  // nothing more can be tried: the answer goes out at once
       return;
     }
@@ -673,7 +673,7 @@
   // Each further attempt gets twice the time: long messages stay long. A time-out ends all for an unsafe one.
   Seconds TimeoutFor(const Message& m, const Endpoint& e, double stretch) const {
     const MessageClass& c = s_.classes[m.message_class];
-    if (c.effect == Effect::kUnsafe || Count(m.attempts) >= s_.most_tries) return 0;
+    if (c.effect == Effect::kUnsafe || m.TriesUsed() >= s_.most_tries) return 0;
     const Seconds patience = PatienceWith(e) * stretch * std::exp2(m.timeouts);
     const Seconds until = now_ + std::min(patience, kTimeoutCap * c.deadline);
     return until < m.deadline ? until : 0;
@@ -689,6 +689,7 @@
     Attempt& a = m.attempts[r.attempt];
     if (!std::exchange(a.out, false)) return;
     a.may_have_run = !ProvesNeverRan(r.outcome);
+    if (r.outcome == Outcome::kNotLeft) ++m.not_left;
     --m.out;
     Call& call = calls_.at(a.call);
     const bool news = !std::exchange(call.judged, true);
@@ -721,10 +722,9 @@
 
   void Retry(Message& m, Outcome last) {  // backoff with jitter, but where a lane's own has kept it back
     if (now_ >= m.deadline - 2 * s_.tick || !BoundsOf(m)) return End(m);  // the answer goes out at once
-    if (last == Outcome::kFull || last == Outcome::kTimeout || last == Outcome::kNotSent ||
-        last == Outcome::kCancelled)
-      return Enqueue(m);
-    const Seconds usual = Usual(destinations_[m.destination]);
+    if (IsRetriedAtOnce(last)) return Enqueue(m);
+    const Seconds shortage = last == Outcome::kNotLeft ? kShortageTicks * s_.tick : 0;
+    const Seconds usual = std::max(shortage, Usual(destinations_[m.destination]));
     const Seconds backoff = std::max(s_.tick, usual * std::exp2(std::min(Count(m.attempts), 5) - 3));
     m.where = Message::Where::kDelayed;
     m.not_before = now_ + backoff * Jitter();
@@ -752,7 +752,7 @@
     } else if (r.outcome == Outcome::kCrowded) {
       e.unmet = e.latest_good = false;
       if (Crowd(e) && s_.couriers > kKeepers) TellOthers(e, LaneNote::Kind::kCrowded);
-    } else if (news && r.outcome != Outcome::kCancelled && r.outcome != Outcome::kNotSent) {
+    } else if (news && !SaysNothing(r.outcome)) {
       if (r.outcome == Outcome::kTimeout)
         e.latency.Add(single, kLatencyGain, now_);  // the next time-out is wider
       Failed(e, r.outcome == Outcome::kConnectFailed, now_ - r.duration);
@@ -903,7 +903,7 @@
     if (it == endpoints_.end()) return;
     Endpoint& e = it->second;
     e.probing = false;
-    if (r.outcome == Outcome::kNotSent) return;  // it says nothing of the endpoint
+    if (SaysNothing(r.outcome)) return;  // it says nothing of the endpoint
     LearnLimit(e, r.report.calls_per_second.value_or(0));
     if (r.outcome == Outcome::kServed && e.circuit == Circuit::kOpen) {
       e.circuit = Circuit::kHalfOpen;  // a probe shows little: calls start slowly
--- a/src/zones/evidence.cpp
+++ b/src/zones/evidence.cpp
@@ -32,6 +32,7 @@
     case Outcome::kServed:
     case Outcome::kCancelled:
     case Outcome::kNotSent:
+    case Outcome::kNotLeft:
     case Outcome::kCrowded:  // its table is full: it is there
       break;
   }
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -14,6 +14,7 @@
 class Watcher : public ServerFlow::Owner {
  public:
   bool MayLeave(const ServerFlow&, const ServerFlow::Member& member) override { return member.id == allowed; }
+  bool RecordAttempt(const ServerFlow&, const ServerFlow::Member&) override { return records; }
   void OnOutcome(const ServerFlow&, const ServerFlow::Member& member, const AttemptOutcome& o) override {
     outcomes.emplace_back(member.id, o.outcome);
   }
@@ -21,6 +22,7 @@
   void OnServedLate(MessageId) override {}
   void OnFlowOver(ServerFlow&) override { ++over; }
   std::string allowed;
+  bool records = true;
   std::vector<std::pair<std::string, Outcome>> outcomes;
   int over = 0, written = 0;
 };
@@ -72,6 +74,38 @@
   close(listener);
 }
 
+// Guards against attempts that a restart would not know of, and against tries used up by this relay's own
+// troubles.
+TEST_CASE("what can't be recorded, or finds no connection of this relay's, has not left and is no try") {
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  std::vector<int> taken;
+  const net::Listener listener(loop, *net::ParseAddress("127.0.0.1:0"), [&](int fd) { taken.push_back(fd); });
+  for (const int connections : {1, 0}) {
+    net::ClientBounds bounds;
+    bounds.http = {4096, 32, 4096};
+    bounds.request_bytes = 4096;
+    bounds.connections = connections;
+    bounds.connect_time = bounds.idle_time = 60;
+    net::HttpClient client(loop, bounds);
+    Watcher watcher;
+    watcher.allowed = "m1";
+    watcher.records = false;
+    ServerFlow::Member member;
+    member.message = 1;
+    member.id = "m1";
+    member.until = loop.Now() + 60;
+    ServerFlow flow(loop, client, 1, listener.address(), {member}, watcher);
+    flow.Start();
+    for (int i = 0; i < 2000 && watcher.outcomes.empty(); ++i) loop.RunOnce(0.01);
+    REQUIRE(watcher.outcomes.size() == 1);
+    CHECK(watcher.outcomes[0].second == Outcome::kNotLeft);
+    CHECK(watcher.written == 0);
+    CHECK(watcher.over == 1);
+  }
+  for (const int fd : taken) close(fd);
+}
+
 // The same for a probe, which counts as a call.
 TEST_CASE("a probe that may not leave any more sends no byte, and fails nobody") {
   const net::SystemClock clock;
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -105,5 +105,53 @@
   EXPECT_DOUBLE_EQ(All<Refuse>()[0].wait, settings.longest_wait);
 }
 
+class NotLeftTest : public CourierTest {
+ protected:
+  // A message of which no attempt can leave, for so long. Returns how many were asked for.
+  std::size_t Play(int message_class, int most_tries, Seconds trouble) {
+    Settings settings = TestSettings();
+    settings.most_tries = most_tries;
+    now_ = 100;
+    Start(settings);
+    List({Entry(1, 1, 0), Entry(2, 1, 1)});
+    Take(1, message_class);
+    EndTurn();
+    std::size_t told = 0;
+    while (now_ < 100 + trouble) {
+      const auto sends = SendsOf(1);
+      for (; told < sends.size(); ++told)
+        Tell(1, static_cast<int>(told), sends[told].endpoint, Outcome::kNotLeft, 0, 0);
+      RunTo(now_ + 0.01);
+    }
+    return told;
+  }
+};
+
+// Guards against messages that are handed back, untried, for a moment's want of sockets or of room on the
+// disk.
+TEST_F(NotLeftTest, WhatCouldNotLeaveIsNoTryAndIsTriedAgainWithBackoff) {
+  for (const int message_class : {kSafeClass, kKeyedClass, kUnsafeClass})
+    for (const int most_tries : {2, 12}) {
+      const std::size_t asked = Play(message_class, most_tries, 2);
+      EXPECT_TRUE(All<Fail>().empty());
+      EXPECT_TRUE(All<Refuse>().empty());
+      EXPECT_GE(asked, 3U);
+      EXPECT_LE(asked, 40U);
+      RunTo(now_ + 2);
+      ASSERT_GT(SendsOf(1).size(), asked);  // once the trouble is over it is sent
+      Tell(1, static_cast<int>(asked), SendsOf(1)[asked].endpoint, Outcome::kServed);
+      EXPECT_TRUE(All<Fail>().empty());
+    }
+}
+
+TEST_F(NotLeftTest, ItSaysNothingOfTheEndpoint) {
+  Play(kSafeClass, 12, 2);
+  Tell(1, static_cast<int>(SendsOf(1).size()) - 1, SendsOf(1).back().endpoint, Outcome::kServed);
+  actions_.clear();
+  for (MessageId id = 2; id < 6; ++id) Take(id, kSafeClass);
+  EndTurn();
+  for (MessageId id = 2; id < 6; ++id) EXPECT_FALSE(SendsOf(id).empty());
+}
+
 }  // namespace
 }  // namespace opalroute
