--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -37,10 +37,11 @@
   // the state folder
   std::size_t disk_bytes = 3'000'000;
   // discovery and notices
-  double watch_heartbeat = 2;   // a watch in order brings a line at least so often
-  double watch_silence = 3.5;   // without a line: then the watch is dead
-  double list_time = 3;         // for the first line of a watch
-  std::size_t watch_tries = 3;  // watches open at once, the one that has brought the list among them
+  double watch_heartbeat = 2;         // a watch in order brings a line at least so often
+  double watch_silence = 3.5;         // without a line: then the watch is dead
+  double list_time = 3;               // for the first line of a watch
+  std::size_t watch_tries = 3;        // watches open at once, the one that has brought the list among them
+  double list_renumbered_after = 30;  // whole lists from before what was told: then discovery counts anew
   double notice_time = 0.2;  // for the answer to notices, before a further try begins beside it; in all ...
   double notice_time_most = 1;       // ... this, which is also the time for a connection to come up
   std::size_t notice_tries = 3;      // out at once
--- a/src/pool/discovery.cpp
+++ b/src/pool/discovery.cpp
@@ -46,17 +46,35 @@
   standing_ = kept;
 }
 
+// Whether a whole list is from before what was told: it may come again and again, from a replica that lags or
+// a proxy that repeats. Lists that stay behind for long are of a discovery that was set up anew, and counts
+// from there.
+bool Discovery::IsOlder(const PoolNews& whole_list) {
+  if (!newest_ || whole_list.generation >= *newest_) {
+    older_since_.reset();
+    return false;
+  }
+  if (!older_since_) older_since_ = loop_.Now();
+  if (loop_.Now() < *older_since_ + limits_.list_renumbered_after) return true;
+  newest_ = whole_list.generation;
+  older_since_.reset();
+  return false;
+}
+
 // Changes that lead to an older list than the one held were told already: a replica lags, or an answer was
 // repeated on its way. They are passed over, and the next try asks for the whole list, which may go back: of
 // a discovery that was set up anew. What that must not undo is the listener's to know.
 void Discovery::OnWatchNews(ListWatch& watch, const PoolNews& news) {
-  const bool older = generation_ && news.generation < *generation_;
-  if (older) log::Warn("pool_news_older", {{"generation", news.generation}, {"held", *generation_}});
-  if (older && !news.whole) return since_.reset();
+  const bool behind = generation_ && news.generation < *generation_;
+  PoolNews told = news;
+  told.older = news.whole && IsOlder(news);
+  if (behind || told.older)
+    log::Warn("pool_news_older",
+              {{"generation", news.generation}, {"held", *generation_}, {"newest", newest_.value_or(0)}});
+  if (behind && !news.whole) return since_.reset();
   CloseAllBut(&watch);
   generation_ = since_ = news.generation;
-  PoolNews told = news;
-  told.older = older;
+  newest_ = std::max(newest_.value_or(news.generation), news.generation);
   listener_.OnPoolNews(told);
 }
 
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -22,7 +22,7 @@
   ~Discovery() override;
 
   // The relay holds the list of this generation, from an earlier process: changes are asked for since then.
-  void Resume(long long generation) { generation_ = since_ = generation; }
+  void Resume(long long generation) { generation_ = since_ = newest_ = generation; }
   void Watch(bool on) override;
 
   // From now on discovery is there: watches and tries at the old address end. Its list need not continue the
@@ -40,7 +40,10 @@
   sockaddr_in address_;
   const Limits& limits_;
   Listener& listener_;
+  bool IsOlder(const PoolNews& whole_list);
   std::optional<long long> generation_;              // of the list that was told last
+  std::optional<long long> newest_;                  // ever told; drains and removals up to it bind
+  std::optional<net::Seconds> older_since_;          // whole lists from before it have come since then
   std::optional<long long> since_;                   // the generation from which changes are asked for
   std::vector<std::unique_ptr<ListWatch>> watches_;  // in the order in which they were opened
   const ListWatch* standing_ = nullptr;              // the one of them that has brought the list
