A notice's try that was retired names nothing that may be gone before it

A retired object lives until the loop's round, or the loop itself, is over; where the relay had ended before, the destructor reached for the loop through notices that were gone. Line at fault: ~Try (notices_.loop_).

Change: Try holds the loop itself and cancels its time-out when it is dropped; the soak's rude clients had the same shape and hold it too.

--- a/lab/sockets/rude_clients.cpp
+++ b/lab/sockets/rude_clients.cpp
@@ -29,8 +29,9 @@
 
 class RudeClients::Client : public Connection::Owner {
  public:
-  Client(RudeClients& all, int relay, RudePlan::Kind kind) : all_(all), relay_(relay), kind_(kind) {}
-  ~Client() override { all_.loop_.Cancel(timer_); }
+  Client(RudeClients& all, int relay, RudePlan::Kind kind)
+      : loop_(all.loop_), all_(all), relay_(relay), kind_(kind) {}
+  ~Client() override { loop_.Cancel(timer_); }  // `all` may be gone by now
 
   bool Open(const sockaddr_in& address) {
     connection_ = Connection::Connect(all_.loop_, address, *this, kBuffer, kBuffer);
@@ -56,6 +57,7 @@
   }
   void OnEnd(Connection&, Connection::End) override { all_.Drop(*this); }
 
+  net::EventLoop& loop_;
   RudeClients& all_;
   const int relay_;
   const RudePlan::Kind kind_;
--- a/src/relay/notices.cpp
+++ b/src/relay/notices.cpp
@@ -10,17 +10,22 @@
 // One request with the lines that wait, on its way.
 class Notices::Try : public net::HttpClient::Call {
  public:
-  Try(Notices& notices, std::size_t lines) : notices_(notices), lines_(lines) {
+  Try(Notices& notices, std::size_t lines) : loop_(notices.loop_), notices_(notices), lines_(lines) {
     timer_ = notices_.loop_.At(notices_.loop_.Now() + notices_.limits_.notice_time_most, [this] {
       timer_ = 0;
       notices_.client_.Abandon(*this);
       notices_.OnNoAnswer(*this, "no answer in time");
     });
   }
-  ~Try() override { notices_.loop_.Cancel(timer_); }
+  // Danger: one that was retired outlives the notices, until the loop's round is over.
+  ~Try() override { loop_.Cancel(timer_); }
 
   std::size_t lines() const { return lines_; }
-  void Abandon() { notices_.client_.Abandon(*this); }
+  void Settle() { loop_.Cancel(timer_); }
+  void Abandon() {
+    Settle();
+    notices_.client_.Abandon(*this);
+  }
 
  private:
   std::string OnReady() override {
@@ -31,6 +36,7 @@
   void OnAnswer(net::HttpMessage& answer) override { notices_.OnAnswer(*this, answer.status); }
   void OnBroken(net::HttpClient::Broken, int) override { notices_.OnNoAnswer(*this, "connection failed"); }
 
+  net::EventLoop& loop_;
   Notices& notices_;
   const std::size_t lines_;
   net::EventLoop::TimerId timer_ = 0;
@@ -58,7 +64,7 @@
 
 void Notices::AbandonAll() {
   loop_.Cancel(next_try_);
-  for (const auto& tried : tries_) tried->Abandon();
+  for (const auto& tried : tries_) tried->Abandon();  // and its time-out, which would name what is gone
   for (auto& tried : tries_) loop_.Retire(std::move(tried));
   tries_.clear();
 }
@@ -125,6 +131,7 @@
 void Notices::Drop(Try& tried) {
   const auto at = std::find_if(tries_.begin(), tries_.end(),
                                [&tried](const auto& other) { return other.get() == &tried; });
+  tried.Settle();
   loop_.Retire(std::move(*at));
   tries_.erase(at);
 }
