--- a/lab/script.cpp
+++ b/lab/script.cpp
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "lab/draw.h"
+#include "lab/drawer.h"
 
 namespace opalroute::lab {
 
@@ -13,9 +13,9 @@
 constexpr double kLasts = 20;  // seconds of arrivals
 constexpr int kZones = 3;
 
-class Drawer {
+class ScriptDrawer : private Drawer {
  public:
-  explicit Drawer(std::uint64_t seed) : random_(seed, 41), relays_(2 + Below(13)) {}
+  explicit ScriptDrawer(std::uint64_t seed) : Drawer(seed, 41), relays_(2 + Below(13)) {}
 
   json Script(std::uint64_t seed) {
     json s = {{"name", "script" + std::to_string(seed)},
@@ -49,12 +49,6 @@
   }
 
  private:
-  int Below(int n) { return static_cast<int>(random_(static_cast<std::uint32_t>(n))); }
-  bool OneIn(int n) { return Below(n) == 0; }
-  // In hundredths, so that a script that is printed and read again is the same.
-  double Rounded(double least, double most) {
-    return static_cast<double>(static_cast<int>(DrawFrom({least, most}, random_) * 100)) / 100;
-  }
   double Moment() { return Rounded(1, kLasts - 3); }
   template <typename Do>
   void Some(int most, const Do& what) {
@@ -137,12 +131,11 @@
             {"forgets", OneIn(4)},     {"at_s", Moment()}, {"down_s", Rounded(0.1, 6)}};
   }
 
-  pcg32 random_;
   const int relays_;
 };
 
 }  // namespace
 
-json DrawScript(std::uint64_t seed) { return Drawer(seed).Script(seed); }
+json DrawScript(std::uint64_t seed) { return ScriptDrawer(seed).Script(seed); }
 
 }  // namespace opalroute::lab
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "lab/draw.h"
+#include "lab/drawer.h"
 #include "lab/scenario.h"
 #include "lab/sockets/play.h"
 
@@ -25,25 +25,6 @@
 constexpr int kCrowd = 520;          // more connections than a relay keeps
 constexpr int kOneInMany = 10;       // seeds, one has many relays
 
-class Drawer {
- public:
-  Drawer(std::uint64_t seed, std::uint64_t stream) : random_(seed, stream) {}
-
- protected:
-  int Below(int n) { return static_cast<int>(random_(static_cast<std::uint32_t>(n))); }
-  bool OneIn(int n) { return Below(n) == 0; }
-  // In hundredths, so that a scenario that is printed and read again is the same.
-  double Rounded(double least, double most) {
-    return static_cast<double>(static_cast<int>(DrawFrom({least, most}, random_) * 100)) / 100;
-  }
-  template <typename Value, std::size_t count>
-  Value OneOf(const Value (&values)[count]) {
-    return values[Below(static_cast<int>(count))];
-  }
-
-  pcg32 random_;
-};
-
 class ScenarioDrawer : private Drawer {
  public:
   explicit ScenarioDrawer(std::uint64_t seed)
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -27,6 +27,15 @@
   int over = 0, written = 0;
 };
 
+net::ClientBounds BoundsOf(int connections) {
+  net::ClientBounds bounds;
+  bounds.http = {4096, 32, 4096};
+  bounds.request_bytes = 4096;
+  bounds.connections = connections;
+  bounds.connect_time = bounds.idle_time = 60;
+  return bounds;
+}
+
 // The connection is up in the kernel at once, but the relay hears of it only in the next round of its loop:
 // a wait or a drain that is told in between must stop the call before its first byte.
 TEST_CASE("what may not leave any more sends no byte and has never run") {
@@ -39,12 +48,7 @@
 
   const net::SystemClock clock;
   net::EventLoop loop(clock);
-  net::ClientBounds bounds;
-  bounds.http = {4096, 32, 4096};
-  bounds.request_bytes = 4096;
-  bounds.connections = 4;
-  bounds.connect_time = bounds.idle_time = 60;
-  net::HttpClient client(loop, bounds);
+  net::HttpClient client(loop, BoundsOf(4));
   for (const std::string allowed : {"", "m2"}) {
     Watcher watcher;
     watcher.allowed = allowed;
@@ -82,12 +86,7 @@
   std::vector<int> taken;
   const net::Listener listener(loop, *net::ParseAddress("127.0.0.1:0"), [&](int fd) { taken.push_back(fd); });
   for (const int connections : {1, 0}) {
-    net::ClientBounds bounds;
-    bounds.http = {4096, 32, 4096};
-    bounds.request_bytes = 4096;
-    bounds.connections = connections;
-    bounds.connect_time = bounds.idle_time = 60;
-    net::HttpClient client(loop, bounds);
+    net::HttpClient client(loop, BoundsOf(connections));
     Watcher watcher;
     watcher.allowed = "m1";
     watcher.records = false;
@@ -112,12 +111,7 @@
   net::EventLoop loop(clock);
   std::vector<int> taken;
   net::Listener listener(loop, *net::ParseAddress("127.0.0.1:0"), [&](int fd) { taken.push_back(fd); });
-  net::ClientBounds bounds;
-  bounds.http = {4096, 32, 4096};
-  bounds.request_bytes = 4096;
-  bounds.connections = 4;
-  bounds.connect_time = bounds.idle_time = 60;
-  net::HttpClient client(loop, bounds);
+  net::HttpClient client(loop, BoundsOf(4));
   std::vector<Outcome> outcomes;
   Probing probe(
       loop, client, 1, listener.address(), 60, [] { return false; },
