Decision module: only attempts that are in flight are cancelled, each once

In the relay the same action was ignored (UpstreamCalls::Cancel finds no attempt in flight).

Cause: CallTable::CancelIfOverdue emitted a cancel for every request that ever was in the overdue call, also for those that had their outcomes and were forgotten. A request that ended while its cancel was out was cancelled once more.

Change: a cancel needs the request to be held, and its attempt to be in flight in this very call and not cancelled yet. The adapter throws a typed error for an unknown request, which becomes a trace line in place of the action; no test reaches that line, as the module names none any more.

Other walks over a call's attempts: none but the batch's size.

--- a/src/decision/call_table.cpp
+++ b/src/decision/call_table.cpp
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-CallTable::CallTable(DecisionContext& context, EndpointTable& table, const LatencyEstimator& latency)
-    : context_(context), table_(table), latency_(latency) {}
+CallTable::CallTable(DecisionContext& context, EndpointTable& table, RequestTable& requests,
+                     const LatencyEstimator& latency)
+    : context_(context), table_(table), requests_(requests), latency_(latency) {}
 
 std::uint64_t CallTable::Open(Destination& destination, Endpoint& endpoint) {
   const std::uint64_t id = ++latest_call_;
@@ -62,18 +63,32 @@
   for (auto& [id, call] : calls_) {  // in the order sent
     Endpoint& endpoint = table_.EndpointAt(call.endpoint);
     health.DetectStall(endpoint);
-    if (CancelIfOverdue(call, endpoint)) return;
+    if (CancelIfOverdue(id, call, endpoint)) return;
   }
 }
 
-bool CallTable::CancelIfOverdue(Call& call, const Endpoint& endpoint) {
+bool CallTable::CancelIfOverdue(std::uint64_t id, Call& call, const Endpoint& endpoint) {
   const Seconds longest = kLostCallTimeouts * latency_.CallTimeout(endpoint) *
                           BatchStretch(static_cast<int>(call.attempts.size()));
   if (!context_.settings.may_cancel || context_.now - call.sent < longest) return false;
   if (std::exchange(call.cancelled, true)) return false;
-  for (const AttemptId& attempt : call.attempts)
-    context_.Emit(CancelAttempt{attempt.request_id, attempt.index});
+  for (const AttemptId& attempt_id : call.attempts) {
+    Attempt* attempt = FindCancellable(id, attempt_id);
+    if (attempt == nullptr) continue;
+    attempt->cancelled = true;
+    context_.Emit(CancelAttempt{attempt_id.request_id, attempt_id.index});
+  }
   return true;
 }
 
+// A batch's requests end one by one: some may have their outcomes, and be forgotten, while others still wait.
+// The attempts of a request that has ended were cancelled with its end.
+Attempt* CallTable::FindCancellable(std::uint64_t call, const AttemptId& id) {
+  Request* request = requests_.Find(id.request_id);
+  if (request == nullptr || request->ended) return nullptr;
+  if (id.index >= static_cast<int>(request->attempts.size())) return nullptr;  // another request of that id
+  Attempt& attempt = request->attempts[static_cast<std::size_t>(id.index)];
+  return attempt.call == call && attempt.in_flight && !attempt.cancelled ? &attempt : nullptr;
+}
+
 }  // namespace opalroute::decision
--- a/src/decision/call_table.h
+++ b/src/decision/call_table.h
@@ -9,6 +9,7 @@
 #include "decision/endpoint_health.h"
 #include "decision/endpoint_table.h"
 #include "decision/latency_estimator.h"
+#include "decision/request_table.h"
 
 namespace opalroute::decision {
 
@@ -31,7 +32,8 @@
 // Owns the calls in flight, and the counts of them in Endpoint and Destination.
 class CallTable {
  public:
-  CallTable(DecisionContext& context, EndpointTable& table, const LatencyEstimator& latency);
+  CallTable(DecisionContext& context, EndpointTable& table, RequestTable& requests,
+            const LatencyEstimator& latency);
 
   // Opens a call to the endpoint and returns its number.
   std::uint64_t Open(Destination& destination, Endpoint& endpoint);
@@ -48,10 +50,13 @@
   void ReclaimSlot(EndpointHealth& health);
 
  private:
-  bool CancelIfOverdue(Call& call, const Endpoint& endpoint);
+  bool CancelIfOverdue(std::uint64_t id, Call& call, const Endpoint& endpoint);
+  // Null: the attempt has its outcome, or is cancelled already.
+  Attempt* FindCancellable(std::uint64_t call, const AttemptId& id);
 
   DecisionContext& context_;
   EndpointTable& table_;
+  RequestTable& requests_;
   const LatencyEstimator& latency_;
   std::map<std::uint64_t, Call> calls_;
   std::uint64_t latest_call_ = 0;
--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -20,6 +20,7 @@
   std::uint64_t call = 0;
   Seconds sent = 0;
   bool in_flight = true;
+  bool cancelled = false;  // its outcome is still to come
   bool may_have_run = false;
 };
 
--- a/src/decision/request_lifecycle.cpp
+++ b/src/decision/request_lifecycle.cpp
@@ -134,7 +134,8 @@
   request.ended = true;
   const int attempts = static_cast<int>(request.attempts.size());
   for (int i = 0; context_.settings.may_cancel && i < attempts; ++i) {
-    if (request.attempts[i].in_flight) context_.Emit(CancelAttempt{request.request_id, i});
+    const Attempt& attempt = request.attempts[i];
+    if (attempt.in_flight && !attempt.cancelled) context_.Emit(CancelAttempt{request.request_id, i});
   }
   Release(request);
 }
--- a/src/decision/request_router.cpp
+++ b/src/decision/request_router.cpp
@@ -137,7 +137,7 @@
   RequestQueue queue_{context_, table_, latency_};
   RetryPolicy retry_policy_{context_, table_, latency_};
   RequestLifecycle lifecycle_{context_, table_, requests_, queue_, retry_policy_};
-  CallTable calls_{context_, table_, latency_};
+  CallTable calls_{context_, table_, requests_, latency_};
   CallSender call_sender_{context_, requests_, queue_, lifecycle_, calls_, pacer_, health_};
   Dispatcher dispatcher_{context_, queue_, latency_, zones_, health_, pacer_, calls_, call_sender_};
   AttemptOutcomeHandler outcomes_{context_, table_,         requests_,         calls_,    latency_,
--- a/src/simulator/instance.cpp
+++ b/src/simulator/instance.cpp
@@ -203,7 +203,7 @@
 void Instance::WriteActions(json& decisions) {
   std::vector<RequestId> named;
   for (const Action& action : actions_) {
-    json written = std::visit([this](const auto& typed_action) { return Write(typed_action); }, action);
+    json written = WriteOrTrace(action);
     written["who"] = name_;
     decisions.push_back(std::move(written));
     if (const auto id = RequestOf(action)) named.push_back(*id);
@@ -212,8 +212,22 @@
   for (const RequestId id : named) ForgetIfDone(id);
 }
 
+json Instance::WriteOrTrace(const Action& action) {
+  try {
+    return std::visit([this](const auto& typed_action) { return Write(typed_action); }, action);
+  } catch (const UnknownRequestError& error) {
+    return Write(Log{error.what()});
+  }
+}
+
+Instance::KnownRequest& Instance::Known(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) throw UnknownRequestError(id);
+  return it->second;
+}
+
 json Instance::Write(const Send& send) {
-  KnownRequest& request = requests_.at(send.request_id);
+  KnownRequest& request = Known(send.request_id);
   json out = {{"type", "PLACE"}, {"corr", request.name}, {"endpoint", endpoints_.NameOf(send.endpoint)}};
   if (send.timeout_at > 0) out["untilS"] = send.timeout_at;
   ++request.attempts_in_flight;
@@ -221,7 +235,7 @@
 }
 
 json Instance::Write(const Reject& reject) {
-  KnownRequest& request = requests_.at(reject.request_id);
+  KnownRequest& request = Known(reject.request_id);
   json out = {{"type", "REFUSE"}, {"corr", request.name}};
   if (reject.retry_after > 0) out["waitS"] = reject.retry_after;
   request.ended = true;
@@ -229,13 +243,13 @@
 }
 
 json Instance::Write(const Fail& fail) {
-  KnownRequest& request = requests_.at(fail.request_id);
+  KnownRequest& request = Known(fail.request_id);
   request.ended = true;
   return {{"type", "ERROR"}, {"corr", request.name}};
 }
 
 json Instance::Write(const CancelAttempt& cancel) {
-  const KnownRequest& request = requests_.at(cancel.request_id);
+  const KnownRequest& request = Known(cancel.request_id);
   return {{"type", "CANCEL"}, {"corr", request.name}, {"shot", cancel.attempt}};
 }
 
--- a/src/simulator/instance.h
+++ b/src/simulator/instance.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +19,13 @@
 // Says in one line what is wrong with the input, and where.
 using WireError = config::FieldError;
 
+// An action names a request that the instance does not know, or has forgotten.
+class UnknownRequestError : public std::runtime_error {
+ public:
+  explicit UnknownRequestError(RequestId id)
+      : std::runtime_error("an action names the unknown request " + std::to_string(id)) {}
+};
+
 // A router with the names of its requests and endpoints. Shares nothing with other instances.
 class Instance {
  public:
@@ -27,7 +35,8 @@
   // `list`: the endpoint list that the event refers to; null if it was not declared.
   void HandleEvent(Seconds now, const nlohmann::json& event, const nlohmann::json* list);
   void EndBatch(Seconds now);
-  // Appends the actions since the last call to a JSON array.
+  // Appends the actions since the last call to a JSON array. An action that names an unknown request is left
+  // out, and a trace line stands in its place.
   void WriteActions(nlohmann::json& decisions);
 
  private:
@@ -60,6 +69,9 @@
   nlohmann::json Write(const SendGossip& gossip);
   nlohmann::json Write(const Log& line);
 
+  nlohmann::json WriteOrTrace(const Action& action);
+  // Throws UnknownRequestError.
+  KnownRequest& Known(RequestId id);
   bool IsNamedByAction(RequestId id) const;
   void ForgetIfDone(RequestId id);
 
--- a/tests/simulator/adapter_test.cpp
+++ b/tests/simulator/adapter_test.cpp
@@ -110,6 +110,30 @@
   EXPECT_EQ(answers, std::vector<std::string>{"ERROR"});
 }
 
+// Guards against a cancel that names a request of a batch which has had its outcome: the adapter has
+// forgotten it, and ended on the look-up.
+TEST(WireTest, AnOverdueBatchIsCancelledForItsPendingRequestsAlone) {
+  Adapter adapter;
+  std::string attach = Attach("courier-1");
+  attach.replace(attach.find("[1]"), 3, "[2]");
+  attach.replace(attach.find("\"callsOut\":4"), 12, "\"callsOut\":1");
+  adapter.Reply(Batch("1", attach));
+  const auto batch = nlohmann::json::parse(
+      adapter.Reply(Batch("2", Inbound("courier-1", "r-a") + "," + Inbound("courier-1", "r-b"))));
+  ASSERT_EQ(batch.at("decisions").at(0).at("type"), "PLACE");
+  ASSERT_EQ(batch.at("decisions").at(1).at("type"), "PLACE");
+  const std::string served = R"({"type":"RESULT","who":"courier-1","corr":"r-a","shot":0,"endpoint":"e-1",)"
+                             R"("outcome":"completed","durationS":0.1,"terminal":true})";
+  adapter.Reply(Batch("2.1", served));
+  std::string reply;
+  ASSERT_EQ(Complaint(adapter, Batch("17", Inbound("courier-1", "r-c"))), "");
+  for (int tick = 0; tick < 3; ++tick) {
+    const std::string time = std::to_string(17.1 + tick);
+    ASSERT_NO_THROW(reply += adapter.Reply(Batch(time, Inbound("courier-1", "r-d" + std::to_string(tick)))));
+  }
+  EXPECT_EQ(reply.find("r-a"), std::string::npos);
+}
+
 TEST(WireTest, BadInputIsNamed) {
   Adapter adapter;
   adapter.Reply(Batch("1", Attach("courier-1")));
