DNS cache: refreshes of many names keep to the steady rate from the start and after outages

Cause: first refreshes were spread evenly over 0.9 of the lifetime, later ones follow 0.7 to 0.9 after the answer, so the second wave rises while the first still runs: 93 and up to 93 at the 54th second. What an outage held back is answered together and stays together.

Change: the first interval is drawn from the forward recurrence time of the intervals, which makes the expected rate constant; a late answer's next refresh counts from when the last one was due.

One literal of an older check changes with the rule that it states (the first refresh of draw 0.5 is at 0.40 of the lifetime, was 0.45); its bounds stay.

Not changed: retries of names that no server answers come every 5 s +- 25%.

--- a/src/dns/cache.cpp
+++ b/src/dns/cache.cpp
@@ -1,6 +1,7 @@
 #include "dns/cache.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace opalroute::dns {
 
@@ -24,21 +25,37 @@
 
 void Cache::Put(const Question& question, Answer answer, Seconds now, double draw) {
   const auto old = entries_.find(question);
-  const bool first = old == entries_.end();
-  if (!first) Erase(old);
+  std::optional<Seconds> was_due;
+  if (old != entries_.end()) {
+    was_due = old->second.refresh_at;
+    Erase(old);
+  }
   if (entries_.size() >= rules_.entries) Erase(entries_.find(deaths_.begin()->second));
   Entry e;
   const Seconds lives = LifetimeOf(answer);
   e.fresh_until = now + lives;
-  const double share =
-      first ? (rules_.refresh + rules_.jitter) * draw : rules_.refresh + rules_.jitter * (2 * draw - 1);
-  e.refresh_at = now + lives * std::min(1.0, share);
+  e.refresh_at = now + (was_due ? Interval(lives, draw) : FirstInterval(lives, draw));
+  if (was_due && *was_due < now) e.refresh_at -= std::fmod(now - *was_due, Interval(lives, draw));
   e.dies_at = e.fresh_until + rules_.stale_most;
   e.answer = std::move(answer);
   deaths_.insert({e.dies_at, question});
   entries_.emplace(question, std::move(e));
 }
 
+Seconds Cache::Interval(Seconds lifetime, double draw) const {
+  return lifetime * std::min(1.0, rules_.refresh + rules_.jitter * (2 * draw - 1));
+}
+
+// The time to the next event of a renewal process that began long ago (its forward recurrence time): up to
+// the shortest interval all moments are alike, from there to the longest they thin out linearly.
+Seconds Cache::FirstInterval(Seconds lifetime, double draw) const {
+  const double alike = 1 - rules_.jitter / rules_.refresh;  // part of all draws
+  const double share = draw < alike ? rules_.refresh * draw
+                                    : rules_.refresh + rules_.jitter -
+                                          std::sqrt(4 * rules_.jitter * rules_.refresh * (1 - draw));
+  return lifetime * std::min(1.0, share);
+}
+
 void Cache::Expire(Seconds now) {
   while (!deaths_.empty() && deaths_.begin()->first <= now) Erase(entries_.find(deaths_.begin()->second));
 }
--- a/src/dns/cache.h
+++ b/src/dns/cache.h
@@ -18,8 +18,7 @@
   Seconds negative_most = 60;  // the same of 'no such name' and 'no such record'
   Seconds stale_most = 3600;   // after its lifetime an answer is good for so long if there is no newer one
   double refresh = 0.8;        // of the lifetime: when it should be asked for again ...
-  double jitter = 0.1;  // ... give or take this share. The first time at any moment up to then: names that
-                        // were all asked for at the start must not all be due at once ever after
+  double jitter = 0.1;         // ... give or take this share
   std::size_t entries = 50'000;
 };
 
@@ -35,6 +34,10 @@
   };
   std::optional<Found> Find(const Question& question, Seconds now) const;
   // `draw`: from 0 to below 1. The one that would die first makes room.
+  //
+  // Refreshes of many names keep to the rate of their lifetimes, also where all were first asked for at once
+  // or answered late together: the first interval of a name is drawn as what is left of a usual one, and each
+  // later one counts from the time at which the refresh was due, not from its answer.
   void Put(const Question& question, Answer answer, Seconds now, double draw);
   // Drops what is too old to be of use.
   void Expire(Seconds now);
@@ -48,6 +51,9 @@
     Seconds fresh_until = 0, refresh_at = 0, dies_at = 0;
   };
   void Erase(std::map<Question, Entry>::iterator it);
+  // Both in seconds; `draw`: from 0 to below 1.
+  Seconds FirstInterval(Seconds lifetime, double draw) const;
+  Seconds Interval(Seconds lifetime, double draw) const;
 
   const CacheRules rules_;
   std::map<Question, Entry> entries_;
--- a/tests/dns/dns_test.cpp
+++ b/tests/dns/dns_test.cpp
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 #include <ldns/ldns.h>
 
+#include <array>
+#include <cmath>
+#include <map>
 #include <pcg_random.hpp>
 
 #include "dns/cache.h"
@@ -209,7 +212,7 @@
   const Question q{N("s.example"), Type::kSrv};
   answer.lifetime = 100;
   cache.Put(q, answer, 1000, 0.5);
-  CHECK(cache.Find(q, 1000)->refresh_at == doctest::Approx(1045));  // the first time: any moment up to 90%
+  CHECK(cache.Find(q, 1000)->refresh_at == doctest::Approx(1040));  // the first time: any moment up to 80%
   for (const auto& [lifetime, counts] : {std::pair(0.0, 1.0), {100.0, 100.0}, {2147483647.0, 3600.0}}) {
     answer.lifetime = lifetime;
     cache.Put(q, answer, 1000, 0.5);
@@ -243,6 +246,59 @@
   CHECK(!small.Find({N("n0"), Type::kSrv}, 3));
 }
 
+// The refreshes of many names on a scripted clock: when each is due it is answered, but for those that are
+// due in an outage, which are answered together when it ends.
+struct RefreshHistory {
+  static constexpr int kNames = 5000;
+  static constexpr Seconds kLifetime = 60, kLasts = 300;
+
+  void Play(Seconds outage_from, Seconds outage_to) {
+    const CacheRules rules;
+    Cache cache(rules);
+    Answer answer;
+    answer.kind = Answer::Kind::kRecords;
+    answer.lifetime = kLifetime;
+    pcg32 random(7);
+    std::multimap<Seconds, Question> due;
+    for (int i = 0; i < kNames; ++i) due.emplace(0, Question{N("n" + std::to_string(i)), Type::kSrv});
+    while (due.begin()->first < kLasts) {
+      const auto [at, question] = *due.begin();
+      due.erase(due.begin());
+      const bool late = at >= outage_from && at < outage_to;
+      const Seconds answered = late ? outage_to : at;
+      if (!late && at > 0) ++by_second[static_cast<std::size_t>(at)];
+      cache.Put(question, answer, answered, random() * 0x1p-32);
+      due.emplace(cache.Find(question, answered)->refresh_at, question);
+    }
+  }
+  // The steady rate is a refresh of each name in 0.8 of its lifetime; what chance adds stays under five
+  // standard deviations of it.
+  void Check(Seconds from) const {
+    const double steady = kNames / (0.8 * kLifetime);
+    const double most = steady + 5 * std::sqrt(steady);
+    for (auto second = static_cast<std::size_t>(from); second < by_second.size(); ++second) {
+      CAPTURE(second);
+      CHECK(by_second[second] <= most);
+    }
+  }
+
+  std::array<int, static_cast<std::size_t>(kLasts)> by_second{};
+};
+
+// Guards against a second wave of refreshes that begins before the first one has ended.
+TEST_CASE("dns: refreshes of names that were first asked for at once keep to the steady rate") {
+  RefreshHistory history;
+  history.Play(0, 0);
+  history.Check(0);
+}
+
+// Guards against names that an outage has brought together staying together.
+TEST_CASE("dns: refreshes of names that were answered late together keep to the steady rate") {
+  RefreshHistory history;
+  history.Play(100, 115);
+  history.Check(116);
+}
+
 TEST_CASE("dns: the fastest server that answers is asked first, one in backoff last") {
   Servers servers(3);
   CHECK(servers.Pick(0, {0, 0, 0}) == 0);
