Shutdown: every request that was read on a connection is answered before it closes

Callers would see: of several requests sent at once on a connection after SIGTERM, only the first was answered, with 'Connection: close'; the others were read and dropped.

Cause: HttpServer closed with the first answer once the server was closing, or the table full, and read the rest off; at the process's end a connection's requests beyond 16 waited for a turn that never came.

Change: the answer closes the connection only if nothing has come behind its request; TakeWhatHasCome has no bound on one connection's requests.

Ruled out meanwhile: a client that sends one request at a time has read its answer before the next is sent, so the reset at the end of a process can't take that answer along.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <iterator>
+#include <limits>
 #include <system_error>
 #include <utility>
 
@@ -73,7 +74,9 @@
       // Danger: who has left gets no answer and hands its message in again: this one must not be taken on.
       if (connection_->peer_ended()) return;
       const HttpAnswer answer = rejected_ ? Reject() : server_.handler_.OnRequest(parser_.message());
-      Answer(answer, rejected_ || !parser_.message().keep_alive || server_.closing_);
+      // What has come behind it was read with it, and is owed an answer: the last one closes the connection.
+      const bool closes = (rejected_ || server_.closing_) && in.empty();
+      Answer(answer, closes || !parser_.message().keep_alive);
       parser_.Reset();
       continued_ = false;
     }
@@ -251,6 +254,7 @@
 
 void HttpServer::TakeWhatHasCome() {
   Accept();
+  bounds_.requests_a_turn = std::numeric_limits<int>::max();  // there is no other turn
   for (auto it = clients_.begin(); it != clients_.end();) {
     Client& client = **it++;
     client.ReadOn();
