--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -37,6 +37,10 @@
       return "stalled_client";
     case BreachKind::kClosed:
       return "closed_unanswered";
+    case BreachKind::kNotReady:
+      return "not_ready";
+    case BreachKind::kUntried:
+      return "untried";
     case BreachKind::kOutOfTurn:
       return "out_of_turn";
   }
@@ -216,6 +220,15 @@
   Report(BreachKind::kClosed, now, relay, message, 0);
 }
 
+// (The standing test's gate: nine in ten are ready in time, and at most half of the untried end early.)
+void Auditor::Restarted(Seconds now, const Restarts& restarts) {
+  constexpr int kAllRelays = -1;
+  constexpr int kLateOneIn = 10, kEndedOneIn = 2;
+  if (restarts.late * kLateOneIn > restarts.ready) Report(BreachKind::kNotReady, now, kAllRelays, 0, 0);
+  if (restarts.untried_ended * kEndedOneIn > restarts.untried)
+    Report(BreachKind::kUntried, now, kAllRelays, 0, 0);
+}
+
 void Auditor::Stalled(Seconds now, int relay) { Report(BreachKind::kStalled, now, relay, 0, 0); }
 
 void Auditor::Listed(EndpointId endpoint, DestinationId destination, std::uint64_t lane) {
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -30,6 +30,8 @@
   kOverParts,      // relays together hold more than a whole and one part
   kStalled,        // a client that stopped in its request heard no end in time
   kClosed,         // a request was read, and its connection closed with no answer
+  kNotReady,       // over one in ten restarted processes was not ready in time
+  kUntried,        // over half of what restarts found untried in good time ended early with no call
   kOutOfTurn       // sent though an earlier one of its key was not over, or the key had to rest
 };
 const char* NameOf(BreachKind kind);
@@ -73,6 +75,13 @@
   // A client's connection was closed after its request, without an answer.
   void ClosedUnanswered(Seconds now, int relay, std::uint64_t message);
   void Stalled(Seconds now, int relay);
+  // At the end of a run, of all restarts together.
+  struct Restarts {
+    int ready = 0, late = 0;  // processes; late: not ready in time
+    int untried = 0,
+        untried_ended = 0;  // messages that they found, and those of them that ended with no call
+  };
+  void Restarted(Seconds now, const Restarts& restarts);
   // The time of each message is checked once it is past.
   void Until(Seconds now);
 
@@ -83,6 +92,8 @@
   void ReachedCold(Seconds now, int relay, std::uint64_t lane, bool fell_over);
   // Ends its waits and what it knew. What it held may be answered late until `excused`.
   void RelayDied(int relay, Seconds excused);
+  // Its next process is ready: what it holds may be answered late until `excused` and no longer.
+  void RelayReady(int relay, Seconds excused) { excused_[relay] = excused; }
   // A tier of so many relays, each of which holds a part of every limit; 0: nobody looks.
   void Tier(int size) { tier_size_ = size; }
   void ToldParts(Seconds now, int relay, double parts);  // its process takes one of so many
--- a/lab/experiments/soak_table.cpp
+++ b/lab/experiments/soak_table.cpp
@@ -39,7 +39,7 @@
 struct Told {
   std::string text;
   bool sound = false, judged = true;
-  long messages = 0, delivered = 0, calls = 0;
+  long messages = 0, delivered = 0, calls = 0, closed_unread = 0;
 };
 
 Told TellOf(std::uint64_t seed, const RunResult& r, const std::string& folder) {
@@ -49,12 +49,17 @@
     told.delivered += c.delivered;
   }
   told.calls = r.calls;
+  told.closed_unread = r.closed_unread;
   told.sound = r.breaches.empty() && r.crashes.empty();
   told.judged = r.void_because.empty();
   char head[200];
-  std::snprintf(head, sizeof(head), "seed %llu: %zu relays, %ld messages, %ld delivered, %ld calls: %s\n",
+  std::snprintf(head, sizeof(head),
+                "seed %llu: %zu relays, %ld messages, %ld delivered, %ld calls, %ld closed unread, %d "
+                "restarts, %d of %d untried "
+                "ended early: %s\n",
                 static_cast<unsigned long long>(seed), r.processes.size(), told.messages, told.delivered,
-                told.calls,
+                told.calls, told.closed_unread, r.restarts.ready, r.restarts.untried_ended,
+                r.restarts.untried,
                 !told.judged ? "VOID"
                 : told.sound ? "sound"
                              : "BROKEN");
@@ -87,7 +92,7 @@
   std::atomic<int> next{0};
   std::mutex lock;
   int broken = 0, not_judged = 0;
-  long messages = 0, delivered = 0, calls = 0;
+  long messages = 0, delivered = 0, calls = 0, closed_unread = 0;
   const auto play = [&] {
     for (int i = next++; i < order.count; i = next++) {
       const std::uint64_t seed = order.first + static_cast<std::uint64_t>(i);
@@ -108,15 +113,18 @@
       messages += told.messages;
       delivered += told.delivered;
       calls += told.calls;
+      closed_unread += told.closed_unread;
       if (told.sound && told.judged) std::filesystem::remove_all(folder);
     }
   };
   std::vector<std::thread> threads;
   for (int i = 0; i < order.jobs; ++i) threads.emplace_back(play);
   for (std::thread& thread : threads) thread.join();
-  std::printf("%d seeds from %llu on: %d broke a rule, %d void; %ld messages, %ld delivered, %ld calls\n",
-              order.count, static_cast<unsigned long long>(order.first), broken, not_judged, messages,
-              delivered, calls);
+  std::printf(
+      "%d seeds from %llu on: %d broke a rule, %d void; %ld messages, %ld delivered, %ld calls, %ld closed "
+      "unread\n",
+      order.count, static_cast<unsigned long long>(order.first), broken, not_judged, messages, delivered,
+      calls, closed_unread);
   return broken > 0 ? 1 : not_judged > 0 ? 3 : 0;
 }
 
--- a/lab/faults/plan.cpp
+++ b/lab/faults/plan.cpp
@@ -14,6 +14,7 @@
     text << "fails " << static_cast<int>(e.call) << ' ' << e.error << ' ' << e.from << ' ' << e.to << ' '
          << e.chance << ' ' << e.bytes << '\n';
   for (const ClockStep& step : steps) text << "clock " << step.at << ' ' << step.by << '\n';
+  if (!requests_read.empty()) text << "records " << requests_read << '\n';
   return text.str();
 }
 
@@ -35,6 +36,8 @@
       in >> step.at >> step.by;
       if (!in) throw wrong();
       plan.steps.push_back(step);
+    } else if (what == "records") {
+      if (!(in >> plan.requests_read)) throw wrong();
     } else {
       throw wrong();
     }
--- a/lab/faults/plan.h
+++ b/lab/faults/plan.h
@@ -46,6 +46,9 @@
   std::string folder;      // the state folder: faults of files strike only there
   std::vector<Episode> episodes;
   std::vector<ClockStep> steps;
+  // Where the ids of clients' requests are appended, one a line, once the process has read their last byte;
+  // empty: nowhere. Outlives the process, however that ends.
+  std::string requests_read;
 
   std::string Write() const;
   // Throws std::invalid_argument if the text is no plan.
--- a/lab/faults/preload.cpp
+++ b/lab/faults/preload.cpp
@@ -24,6 +24,7 @@
 #include <string>
 
 #include "lab/faults/plan.h"
+#include "lab/faults/requests_read.h"
 
 namespace {
 
@@ -32,6 +33,7 @@
 using opalroute::lab::faults::Episode;
 using opalroute::lab::faults::kPlanVariable;
 using opalroute::lab::faults::Plan;
+using opalroute::lab::faults::RequestsRead;
 
 template <typename Function>
 Function* Next(const char* name) {
@@ -102,6 +104,11 @@
   return *faults;
 }
 
+RequestsRead& Requests() {
+  static auto* const requests = new RequestsRead(All().plan().requests_read);
+  return *requests;
+}
+
 // Fails the call with an error of its plan's; `broken`: that error says the connection is no more.
 bool Fails(Call call) {
   const Episode* e = All().Strike(call);
@@ -161,6 +168,7 @@
   if (Fails(Call::kAccept)) return -1;
   const int accepted = next(fd, address, size, flags);
   All().Accepted(accepted, true);
+  Requests().Accepted(accepted);
   return accepted;
 }
 
@@ -190,7 +198,10 @@
   std::size_t most = SizeOf(parts, pieces);
   if (FailsOn(fd, Call::kRead, most)) return -1;
   const auto shorter = Shortened(parts, pieces, most);
-  return next(fd, shorter.data(), std::min(count, static_cast<int>(shorter.size())));
+  const int shorter_count = std::min(count, static_cast<int>(shorter.size()));
+  const ssize_t bytes = next(fd, shorter.data(), shorter_count);
+  if (bytes > 0) Requests().Read(fd, shorter.data(), shorter_count, static_cast<std::size_t>(bytes));
+  return bytes;
 }
 
 ssize_t recv(int fd, void* bytes, std::size_t size, int flags) {
@@ -263,6 +274,7 @@
   NEXT(close);
   All().Opened(fd, false);
   All().Accepted(fd, false);
+  Requests().Closed(fd);
   return next(fd);
 }
 
--- a/lab/result.h
+++ b/lab/result.h
@@ -94,7 +94,9 @@
   long handed_in = 0, refused = 0, failed = 0;  // by relays, retries counted
   long calls = 0, attempts = 0, full = 0, errors = 0, timeouts = 0, unconnected = 0, resets = 0, probes = 0;
   long collapses = 0;
-  long client_doubles = 0;  // keyed effects doubled by clients that came again after the window
+  long closed_unread = 0;      // requests on connections that a stopping relay closed before it had read them
+  Auditor::Restarts restarts;  // on sockets
+  long client_doubles = 0;     // keyed effects doubled by clients that came again after the window
   long events = 0;
   long notes = 0, note_bytes = 0;  // between relays, by what was sent to each
   // Of those: "lanes" of the decision module, and the tier's kinds (membership::NoteKind). In simulated time
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -295,7 +295,8 @@
                              {"reset", ListFault::Kind::kReset},
                              {"silent", ListFault::Kind::kSilent},
                              {"old", ListFault::Kind::kOld},
-                             {"cut_line", ListFault::Kind::kCutLine}});
+                             {"cut_line", ListFault::Kind::kCutLine},
+                             {"unreachable", ListFault::Kind::kUnreachable}});
     r.Whole("first", f.first, 0, s.relays - 1);
     f.last = f.first;
     r.Whole("last", f.last, f.first, s.relays - 1);
@@ -309,7 +310,8 @@
                              {{"kill", RelayFault::Kind::kKill},
                               {"stop", RelayFault::Kind::kStop},
                               {"freeze", RelayFault::Kind::kFreeze},
-                              {"reload", RelayFault::Kind::kReload}});
+                              {"reload", RelayFault::Kind::kReload},
+                              {"kill_after_accept", RelayFault::Kind::kKillAfterAccept}});
     r.Whole("relay", f.relay, 0, s.relays - 1);
     r.Whole("through", f.through, 0, s.relays - 1);
     r.YesNo("forgets", f.forgets);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -40,10 +40,11 @@
 
 struct RelayFault {
   enum class Kind {
-    kKill,    // SIGKILL, and a new start after `down`
-    kStop,    // SIGTERM, and the same
-    kFreeze,  // SIGSTOP, and SIGCONT after `down`
-    kReload   // a new file of the configuration, and SIGHUP
+    kKill,            // SIGKILL, and a new start after `down`
+    kStop,            // SIGTERM, and the same
+    kFreeze,          // SIGSTOP, and SIGCONT after `down`
+    kReload,          // a new file of the configuration, and SIGHUP
+    kKillAfterAccept  // SIGKILL right behind the next request that it accepts; on sockets alone
   } kind{};
   int relay = 0;
   Seconds at = 0, down = 0;
@@ -54,12 +55,13 @@
 // What befalls the watches of some relays, on sockets alone. A new watch meets it, too.
 struct ListFault {
   enum class Kind {
-    kBusy,    // 503, after a while
-    kRefuse,  // nobody listens
-    kReset,   // watches that are open are reset, at its beginning
-    kSilent,  // watches that are open bring nothing more; new ones are served
-    kOld,     // each watch begins with a list from before the latest changes
-    kCutLine  // a line is cut in its midst, and the connection ends
+    kBusy,        // 503, after a while
+    kRefuse,      // requests for the list and its watch are reset; notifications are answered
+    kReset,       // watches that are open are reset, at its beginning
+    kSilent,      // watches that are open bring nothing more; new ones are served
+    kOld,         // each watch begins with a list from before the latest changes
+    kCutLine,     // a line is cut in its midst, and the connection ends
+    kUnreachable  // nobody listens, for the list and for notifications alike: these are overdue meanwhile
   } kind{};
   int first = 0, last = 0;  // relays, both counted
   Seconds from = 0, lasts = 0;
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -586,7 +586,10 @@
 
 void Simulation::Strike(const RelayFault& fault, bool forced) {
   Relay& relay = *relays_[static_cast<std::size_t>(fault.relay)];
-  if (!relay.up || fault.kind == RelayFault::Kind::kReload) return;  // the module has no file to read anew
+  // The module has no file to read anew, and no answers of its own that a kill could follow.
+  const bool on_sockets_alone =
+      fault.kind == RelayFault::Kind::kReload || fault.kind == RelayFault::Kind::kKillAfterAccept;
+  if (!relay.up || on_sockets_alone) return;
   if (fault.kind == RelayFault::Kind::kFreeze) {
     relay.frozen_until = now() + fault.down;
     return auditor_.Excuse(relay.number, relay.frozen_until + kAfterReady);
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak/soak.h"
 
 #include <cerrno>
+#include <filesystem>
 #include <map>
 #include <pcg_random.hpp>
 #include <utility>
@@ -9,6 +10,7 @@
 #include "lab/drawer.h"
 #include "lab/scenario.h"
 #include "lab/sockets/play.h"
+#include "lab/sockets/relay_process.h"
 
 namespace opalroute::lab {
 
@@ -24,6 +26,9 @@
 constexpr double kAllMayFail = 0.2;  // seconds
 constexpr int kCrowd = 520;          // more connections than a relay keeps
 constexpr int kOneInMany = 10;       // seeds, one has many relays
+constexpr int kOneInFew = 5;         // seeds, one has a crowd; one, a platform that nobody reaches
+constexpr double kKillGrace = RelayProcess::kKilledAfter;
+constexpr const char* kRequestsRead = "requests_read";  // file in a relay's folder
 
 class ScenarioDrawer : private Drawer {
  public:
@@ -51,6 +56,11 @@
     for (int i = Below(4); i > 0; --i) s["rude_clients"].push_back(RudeClientsOf());
     for (int i = Below(4); i > 0; --i) s["list_faults"].push_back(ListFaultOf());
     for (int i = Below(3); i > 0; --i) s["links"]["cuts"].push_back(CutOf());
+    // Drawn last: what comes before is as it was for seeds that stand in pages and messages.
+    for (int i = Below(3); i > 0; --i) AddStop(s["relay_faults"]);
+    if (OneIn(2)) AddSignalSeries(s["relay_faults"]);
+    if (OneIn(kOneInFew)) AddCrowd(s);
+    if (OneIn(kOneInFew)) s["list_faults"].push_back(UnreachableOf());
     return s;
   }
 
@@ -130,6 +140,64 @@
     }
   }
 
+  void AddStop(json& faults) {
+    const int first = Below(relays_);
+    faults.push_back({{"kind", "stop"},
+                      {"relay", first},
+                      {"through", OneIn(2) ? first : first + Below(relays_ - first)},
+                      {"at_s", Moment()},
+                      {"down_s", Rounded(0.05, 1)}});
+  }
+
+  // Signals in series to one relay, some of them while it stops, recovers or has just started.
+  void AddSignalSeries(json& faults) {
+    const int relay = Below(relays_);
+    const double at = Moment();
+    const auto add = [&](const char* kind, double when, double down) {
+      faults.push_back({{"kind", kind}, {"relay", relay}, {"at_s", when}, {"down_s", down}});
+    };
+    const double down = Rounded(0.05, 0.6);
+    switch (Below(6)) {
+      case 0:  // SIGTERM again while it stops
+        add("stop", at, down);
+        return add("stop", at + Rounded(0.05, 2), down);
+      case 1:  // SIGHUP and SIGTERM at once, and SIGHUP while it stops
+        add("reload", at, 0);
+        add("stop", at + 0.01, down);
+        return add("reload", at + Rounded(0.05, 1), 0);
+      case 2:  // SIGSTOP and SIGCONT while it stops
+        add("stop", at, down);
+        return add("freeze", at + Rounded(0, 0.6), kFrozen);
+      case 3:  // SIGKILL while it stops
+        add("stop", at, down);
+        return add("kill", at + Rounded(0.05, 1), down);
+      case 4:  // SIGKILL a few milliseconds after the start, and while it recovers what it held
+        for (int i = 0; i < 3; ++i) add("kill", at + i * (down + Rounded(0.02, 0.2)), down);
+        return;
+      default:
+        for (int i = 0; i < 3; ++i) add("kill_after_accept", at + i * (down + 0.5), down);
+    }
+  }
+
+  // Idle clients that fill a relay's table while it stops, and the next process's as it starts.
+  void AddCrowd(json& scenario) {
+    const int relay = Below(relays_);
+    const double at = Rounded(kQuiet, kLasts / 2), down = Rounded(0.05, 0.6);
+    const auto add = [&](double when) {
+      scenario["rude_clients"].push_back(
+          {{"kind", "idle"}, {"relay", relay}, {"count", kCrowd}, {"at_s", when}});
+    };
+    add(std::max(0.0, at - Rounded(0, 1)));
+    scenario["relay_faults"].push_back({{"kind", "stop"}, {"relay", relay}, {"at_s", at}, {"down_s", down}});
+    add(at + kKillGrace + down + Rounded(0.02, 0.5));
+  }
+
+  json UnreachableOf() {
+    json fault = ListFaultOf();
+    fault["kind"] = "unreachable";
+    return fault;
+  }
+
   // Few that stop in a request, or a crowd that says nothing.
   json RudeClientsOf() {
     const char* const kinds[] = {"idle", "half_head", "half_body"};
@@ -255,10 +323,12 @@
   // Bounds of the auditor are wider than that.
   play.most_lateness_p99 = 0.1;
   play.most_lateness = 0.3;
+  play.requests_read = kRequestsRead;
   auto starts = std::make_shared<std::map<int, int>>();
   if (!options.library.empty())
     play.variables = [seed, starts, library = options.library](int relay, const std::string& state_folder) {
-      const faults::Plan plan = DrawFaults(seed, relay, (*starts)[relay]++, state_folder);
+      faults::Plan plan = DrawFaults(seed, relay, (*starts)[relay]++, state_folder);
+      plan.requests_read = std::filesystem::path(state_folder).replace_filename(kRequestsRead);
       return std::map<std::string, std::string>{{"LD_PRELOAD", library},
                                                 {faults::kPlanVariable, plan.Write()}};
     };
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -251,9 +251,8 @@
       Door& door = doors_[{id, relay}];
       door.endpoint = id;
       door.relay = relay;
-      door.address = LoopbackOf(id);
+      door.address = std::make_unique<ReservedAddress>(LoopbackOf(id).sin_addr);
       Tend(door);
-      door.address = door.listener->address();  // the port that it keeps
     }
   }
 }
@@ -273,9 +272,9 @@
   if (door.refuses || silent)
     door.listener.reset();
   else if (door.listener == nullptr)
-    door.listener =
-        std::make_unique<net::Listener>(loop_, door.address, [this, relay](int fd) { Accept(fd, relay); });
-  if (silent && door.hole == nullptr) door.hole = std::make_unique<BlackHole>(door.address);
+    door.listener = std::make_unique<net::Listener>(loop_, door.address->address(),
+                                                    [this, relay](int fd) { Accept(fd, relay); });
+  if (silent && door.hole == nullptr) door.hole = std::make_unique<BlackHole>(door.address->address());
 }
 
 bool Endpoints::IsCut(EndpointId endpoint, int relay) const {
@@ -322,7 +321,7 @@
 
 std::string Endpoints::AddressOf(EndpointId endpoint, int relay) const {
   const auto door = doors_.find({endpoint, relay});
-  if (door != doors_.end()) return net::FormatAddress(door->second.address);
+  if (door != doors_.end()) return net::FormatAddress(door->second.address->address());
   sockaddr_in address = LoopbackOf(endpoint);
   address.sin_port = listeners_[static_cast<std::size_t>(relay)]->address().sin_port;
   return net::FormatAddress(address);
--- a/lab/sockets/endpoints.h
+++ b/lab/sockets/endpoints.h
@@ -14,6 +14,7 @@
 #include "lab/sessions.h"
 #include "lab/sockets/ledger.h"
 #include "lab/sockets/loopback.h"
+#include "lab/sockets/reserved_address.h"
 #include "lab/world.h"
 #include "net/listener.h"
 
@@ -40,7 +41,7 @@
   struct Door {
     EndpointId endpoint = 0;
     int relay = 0;
-    sockaddr_in address{};
+    std::unique_ptr<ReservedAddress> address;  // nobody else gets it while the listener is closed
     std::unique_ptr<net::Listener> listener;
     std::unique_ptr<BlackHole> hole;
     bool refuses = false, vanished = false;
--- a/lab/sockets/front.cpp
+++ b/lab/sockets/front.cpp
@@ -11,6 +11,12 @@
 constexpr std::size_t kBodyBytes = 200;
 constexpr Seconds kLooksAgain = 1;     // a relay that refused a connection gets no other for so long
 constexpr Seconds kNobodyThere = 0.1;  // the front asks again after this while it knows no relay
+// After SIGTERM new connections come for so long (the platform's protocol, 'Figures').
+constexpr Range kNewConnectionsCome = {0.2, 0.4};
+constexpr Seconds kClosesIdle = 0.45;       // after SIGTERM, as README tells clients; and ...
+constexpr Seconds kEndsAtLatest = 3.45;     // ... the end of the process
+constexpr Seconds kCrossingGathers = 0.04;  // arrivals of so long are sent at once
+constexpr Seconds kCrossingSpread = 0.004;  // on either side of the moment
 
 net::ClientBounds Bounds() {
   net::ClientBounds bounds;
@@ -48,6 +54,7 @@
     if (answer.status == 202 || answer.status == 200) {
       front_.answer_times_.Add(front_.loop_.Now() - sent_);
       front_.ledger_.TakenOn(now, id_);
+      if (front_.on_accepted) front_.on_accepted(relay_);
     } else if (answer.status == 429 || answer.status == 503) {
       const std::string* wait = answer.Header("Retry-After");
       front_.ledger_.Refused(now, id_);
@@ -97,10 +104,28 @@
 }
 
 void Front::SetRelay(int relay, const sockaddr_in& address) {
-  relays_[static_cast<std::size_t>(relay)].address = address;
+  Relay& started = relays_[static_cast<std::size_t>(relay)];
+  started = {address, false, false, started.starts + 1};
 }
 void Front::SetAlive(int relay, bool alive) { relays_[static_cast<std::size_t>(relay)].alive = alive; }
 
+void Front::RelayStops(int relay) {
+  const Seconds now = loop_.Now();
+  Relay& stopping = relays_[static_cast<std::size_t>(relay)];
+  loop_.At(now + DrawFrom(kNewConnectionsCome, random_), [&stopping, starts = stopping.starts] {
+    if (stopping.starts == starts) stopping.open_connections_only = true;
+  });
+  for (const Seconds after : {kClosesIdle, kEndsAtLatest})
+    crossings_.push_back({relay, now + after - kCrossingGathers, now + after});
+}
+
+const Front::Crossing* Front::CrossingNow() const {
+  const Seconds now = loop_.Now();
+  const auto found = std::find_if(crossings_.begin(), crossings_.end(),
+                                  [now](const Crossing& c) { return now >= c.from && now < c.at; });
+  return found == crossings_.end() ? nullptr : &*found;
+}
+
 void Front::Avoid(int relay) {
   if (!std::exchange(relays_[static_cast<std::size_t>(relay)].alive, false)) return;
   loop_.At(loop_.Now() + kLooksAgain, [this, relay] { SetAlive(relay, true); });
@@ -120,23 +145,42 @@
   loop_.At(start_ + next->due, [this, arrival = *next] {
     const std::size_t client = ledger_.Ask(arrival);
     tries_.resize(client + 1, 0);
-    HandIn(client, nullptr);
+    if (const Crossing* crossing = CrossingNow()) {
+      ++coming_;
+      loop_.At(crossing->at + DrawFrom({-kCrossingSpread, kCrossingSpread}, random_),
+               [this, client, relay = crossing->relay] {
+                 --coming_;
+                 HandIn(client, nullptr, relay);
+               });
+    } else {
+      HandIn(client, nullptr);
+    }
     Arm();
   });
 }
 
-void Front::HandIn(std::size_t client, const char* resent) {
+bool Front::MayTake(int relay) const {
+  const Relay& to = relays_[static_cast<std::size_t>(relay)];
+  return to.alive && (!to.open_connections_only || client_.HasIdle({to.address, 0}));
+}
+
+int Front::PickRelay(int preferred) {
+  if (preferred != kAnyRelay && MayTake(preferred)) return preferred;
+  for (std::size_t tries = 0; tries < relays_.size(); ++tries) {
+    const int next = static_cast<int>(next_relay_++ % relays_.size());
+    if (MayTake(next)) return next;
+  }
+  return kAnyRelay;
+}
+
+void Front::HandIn(std::size_t client, const char* resent, int preferred) {
   const Seconds remaining = ledger_.DeadlineOf(client) - now();
   if (remaining < 0.001 || ledger_.delivered(client)) return;
-  std::size_t relay = relays_.size();
-  for (std::size_t tries = 0; tries < relays_.size() && relay == relays_.size(); ++tries) {
-    const std::size_t next = next_relay_++ % relays_.size();
-    if (relays_[next].alive) relay = next;
-  }
-  if (relay == relays_.size()) return Later(client, kNobodyThere, resent);
+  const int relay = PickRelay(preferred);
+  if (relay == kAnyRelay) return Later(client, kNobodyThere, resent);
   const Arrival& arrival = ledger_.arrival(client);
   const ClassPlan& plan = s_.classes[static_cast<std::size_t>(arrival.message_class)];
-  const std::uint64_t id = ledger_.HandIn(now(), static_cast<int>(relay), client);
+  const std::uint64_t id = ledger_.HandIn(now(), relay, client);
   net::Headers headers = {{"Host", "lab"},
                           {"X-Txn", "m" + std::to_string(id)},
                           {"X-Lane", plan.name},
@@ -146,12 +190,11 @@
   if (plan.rules.idempotency == Idempotency::kIdempotencyKey)
     headers.emplace_back("Idempotency-Key", "k" + std::to_string(client));
   if (resent != nullptr) headers.emplace_back("X-Resent", resent);
-  auto call =
-      std::make_unique<Call>(*this, client, static_cast<int>(relay), id,
-                             net::WriteRequest("POST", "/api", headers, std::string(kBodyBytes, 'x')));
+  auto call = std::make_unique<Call>(
+      *this, client, relay, id, net::WriteRequest("POST", "/api", headers, std::string(kBodyBytes, 'x')));
   Call* const key = call.get();
   calls_.emplace(key, std::move(call));
-  client_.Start({relays_[relay].address, 0}, *key);
+  client_.Start({relays_[static_cast<std::size_t>(relay)].address, 0}, *key);
 }
 
 void Front::ComeAgain(std::size_t client, Seconds advice) {
--- a/lab/sockets/ledger.cpp
+++ b/lab/sockets/ledger.cpp
@@ -11,6 +11,9 @@
 // A copy that left before its relay had read the end is no breach: so long after the end it may arrive.
 constexpr Seconds kOnTheWay = 0.25;
 
+constexpr double kHalf = 0.5;   // of a message's time: what a restart finds with more left is to be tried
+constexpr double kEarly = 0.7;  // of it: an end before is early (the standing test)
+
 }  // namespace
 
 std::size_t Ledger::Ask(const Arrival& arrival) {
@@ -29,6 +32,7 @@
   ++open_;
   handings_.emplace_back();
   handings_.back().client = client;
+  handings_.back().relay = relay;
   const std::uint64_t id = handings_.size();
   const Arrival& arrival = clients_[client].arrival;
   auditor_.Taken(now, relay, id, client, arrival.message_class, world_.partners()[arrival.partner].id,
@@ -65,10 +69,27 @@
   Handing* handing = Find(id);
   // A relay that was killed repeats what it may not have told: 'does no harm'.
   if (handing == nullptr || handing->over) return;
+  if (handing->found_untried && handing->attempts == 0 && now < TimeOf(handing->client, kEarly))
+    ++untried_ended_;
   End(now, id, *handing, notice == Notice::kGivenUp ? Auditor::End::kFailed : Auditor::End::kRefused);
   if (notice == Notice::kHandedBack && on_handed_back) on_handed_back(handing->client, advice);
 }
 
+Seconds Ledger::TimeOf(std::size_t client, double share) const {
+  const Arrival& arrival = clients_[client].arrival;
+  return arrival.due + share * (DeadlineOf(client) - arrival.due);
+}
+
+void Ledger::RelayRestarted(Seconds now, int relay) {
+  for (Handing& handing : handings_) {
+    const bool open = handing.relay == relay && handing.taken_on && !handing.over;
+    if (!open || handing.attempts > 0 || handing.found_untried || now > TimeOf(handing.client, kHalf))
+      continue;
+    handing.found_untried = true;
+    ++untried_;
+  }
+}
+
 // A relay that was killed before it had read the 200 sends a delivered message anew, as its class allows.
 bool Ledger::MayComeAgain(Seconds now, const Handing& handing) const {
   const RequestClass& c =
--- a/lab/sockets/ledger.h
+++ b/lab/sockets/ledger.h
@@ -47,6 +47,13 @@
 
   std::size_t open() const { return open_; }  // handed in and not over
 
+  // The relay's next process has started: what it was handed in and has not called for counts as found
+  // untried if half of its time is left.
+  void RelayRestarted(Seconds now, int relay);
+  // Of all restarts: what was found untried, and what of it has ended early with no call.
+  int untried() const { return untried_; }
+  int untried_ended() const { return untried_ended_; }
+
  private:
   struct Client {
     Arrival arrival;
@@ -55,10 +62,13 @@
   struct Handing {
     std::size_t client = 0;
     Seconds ended = 0;
+    int relay = 0;
     int attempts = 0;
+    bool found_untried = false;
     bool taken_on = false, served = false, over = false, withdrawn = false;
   };
   Handing* Find(std::uint64_t id) { return id >= 1 && id <= handings_.size() ? &handings_[id - 1] : nullptr; }
+  Seconds TimeOf(std::size_t client, double share) const;  // when that share of its time is over
   bool MayArriveLate(Seconds now, int relay, const Handing& handing) const;
   bool MayComeAgain(Seconds now, const Handing& handing) const;
   void End(Seconds now, std::uint64_t id, Handing& handing, Auditor::End end);
@@ -71,6 +81,7 @@
   std::vector<Handing> handings_;
   std::map<int, Seconds> deaf_until_;  // by relay
   std::size_t open_ = 0;
+  int untried_ = 0, untried_ended_ = 0;
 };
 
 }  // namespace opalroute::lab
--- a/lab/sockets/play.cpp
+++ b/lab/sockets/play.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -34,6 +35,7 @@
 constexpr Seconds kAfterReady = 1.5;   // what was overdue at a restart may be answered until then
 constexpr Seconds kAfterCut = 0.5;     // what was overdue in a cut may be answered until then
 constexpr Seconds kToReady = 5;        // a new start may take so long before what it holds is overdue
+constexpr Seconds kReadyWithin = 6;    // of a restart on a short day (the standing test)
 constexpr Seconds kEndSeen = 0.3;      // after its end a process is known to have ended
 constexpr Seconds kToEnd = 5;          // for all relays, once the run is over
 
@@ -65,6 +67,7 @@
         front_(loop_, scenario, traffic_, ledger_, seed),
         rude_clients_(loop_, [this](int relay) { auditor_.Stalled(now(), relay); }) {
     front_.on_closed = [this](int relay, std::uint64_t id) { CheckClosed(relay, id); };
+    front_.on_accepted = [this](int relay) { KillAfterAccept(relay); };
     if (s_.notes) post_ = std::make_unique<PostThread>(s_.relays, s_.links, seed);
     tally_.result().played = "sockets";
     tally_.result().processes.resize(static_cast<std::size_t>(s_.relays));
@@ -102,10 +105,8 @@
       loop_.At(start_ + rude.at, [this, rude] {
         rude_clients_.Connect(rude.relay, Of(rude.relay).address(), rude.kind, rude.count);
       });
-    for (const Cut& cut : s_.links.cuts)
-      loop_.At(start_ + cut.from, [this] {
-        for (int relay = 0; relay < s_.relays; ++relay) ExcuseForCuts(relay);
-      });
+    for (const Cut& cut : s_.links.cuts) ExcuseAllAt(cut.from);
+    for (const ListFault& fault : s_.list_faults) ExcuseAllAt(fault.from);
     for (const RelayFault& fault : s_.relay_faults)
       loop_.At(start_ + fault.at, [this, fault] { Strike(fault); });
     for (const HandGiven& order : s_.zone_orders) loop_.At(start_ + order.at, [this, order] { Give(order); });
@@ -118,6 +119,9 @@
     }
     constexpr Seconds kEver = 1e9;  // what is not over by now never will be
     auditor_.Until(kEver);
+    restarts_.untried = ledger_.untried();
+    restarts_.untried_ended = ledger_.untried_ended();
+    auditor_.Restarted(now(), restarts_);
     End();
     return Result();
   }
@@ -162,43 +166,84 @@
   void OnReady(int relay) override {
     front_.SetRelay(relay, Of(relay).address());
     front_.SetAlive(relay, true);
-    if (start_ > 0) RelayDied(relay, now() + kAfterReady);  // what it held is due from now on
+    if (start_ <= 0) return;
+    ++restarts_.ready;
+    if (now() > started_at_[relay] + kReadyWithin) ++restarts_.late;
+    auditor_.RelayReady(relay, now() + kAfterReady);  // what it held is due from now on
+    ExcuseForCuts(relay);
   }
   void StartRelay(int relay) {
     Of(relay).Start();
+    OnStart(relay);
+  }
+  void OnStart(int relay) override {
+    started_at_[relay] = now();
+    ledger_.RelayRestarted(now(), relay);
     if (post_) post_->SetThere(relay, true);
   }
   void OnEnd(int relay) override {
-    if (post_) post_->SetThere(relay, false);
     if (options_.clients_stay) front_.SetAlive(relay, false);
+    OnDeath(relay);
+  }
+  void OnKilled(int relay) override {
+    const Seconds down = Of(relay).next_start() - loop_.Now();
+    loop_.At(loop_.Now() + std::min(kFrontSees, down), [this, relay] {
+      if (!Of(relay).ready()) front_.SetAlive(relay, false);
+    });
+    OnDeath(relay);
   }
+  // What it was told ends with the process; nothing that it held is overdue until the next one is ready.
+  void OnDeath(int relay) {
+    if (post_) post_->SetThere(relay, false);
+    auditor_.RelayDied(relay, ReadyAtLatest(relay));
+    ExcuseForCuts(relay);
+  }
+  Seconds ReadyAtLatest(int relay) { return Of(relay).next_start() - start_ + kToReady; }
   void OnCrash(int relay, const std::string& how) override {
-    OnEnd(relay);
-    RelayDied(relay, 0);
+    if (post_) post_->SetThere(relay, false);
+    auditor_.RelayDied(relay, 0);
+    ExcuseForCuts(relay);
     front_.SetAlive(relay, false);
     tally_.result().crashes.push_back({relay, start_ > 0 ? now() : 0, how, Of(relay).LastLog()});
   }
-  void RelayDied(int relay, Seconds excused) {
-    auditor_.RelayDied(relay, excused);
-    ExcuseForCuts(relay);
-  }
   // While the platform is out of a relay's reach no notice can arrive there.
   void ExcuseForCuts(int relay) {
-    for (const Cut& cut : s_.links.cuts) {
-      const bool holds = start_ > 0 && now() >= cut.from && now() < cut.from + cut.lasts;
-      if (cut.what == Cut::What::kDiscovery && holds && relay >= cut.first && relay <= cut.last)
-        auditor_.Excuse(relay, cut.from + cut.lasts + kAfterCut);
-    }
+    for (const Cut& cut : s_.links.cuts)
+      if (cut.what == Cut::What::kDiscovery) ExcuseWhile(relay, cut.first, cut.last, cut.from, cut.lasts);
+    for (const ListFault& fault : s_.list_faults)
+      if (fault.kind == ListFault::Kind::kUnreachable)
+        ExcuseWhile(relay, fault.first, fault.last, fault.from, fault.lasts);
+  }
+  void ExcuseWhile(int relay, int first, int last, Seconds from, Seconds lasts) {
+    const bool holds = start_ > 0 && now() >= from && now() < from + lasts;
+    if (holds && relay >= first && relay <= last) auditor_.Excuse(relay, from + lasts + kAfterCut);
   }
-  // A client's connection has ended with its request written and not answered. That is the relay's doing if
-  // it goes on running; one whose process ends resets what it has not read.
+  void ExcuseAllAt(Seconds from) {
+    loop_.At(start_ + from, [this] {
+      for (int relay = 0; relay < s_.relays; ++relay) ExcuseForCuts(relay);
+    });
+  }
+  // A client's connection has ended with its request written and no whole answer. That is the relay's doing
+  // if it was serving, and wherever the request had been read; a process that is killed resets all it has.
   void CheckClosed(int relay, std::uint64_t id) {
-    if (!options_.clients_stay || !Of(relay).serves()) return;
-    const Seconds closed = now();
-    loop_.At(loop_.Now() + kEndSeen, [this, relay, id, closed, starts = Of(relay).starts()] {
-      if (Of(relay).serves() && Of(relay).starts() == starts) auditor_.ClosedUnanswered(closed, relay, id);
+    if (!options_.clients_stay) return;
+    const Seconds closed = loop_.Now();
+    const int starts = Of(relay).starts();
+    const bool served = Of(relay).serves();
+    loop_.At(closed + kEndSeen, [this, relay, id, closed, starts, served] {
+      if (Of(relay).WasKilled(starts, closed)) return;
+      if (served || HasRead(relay, id)) return auditor_.ClosedUnanswered(closed - start_, relay, id);
+      ++tally_.result().closed_unread;
     });
   }
+  bool HasRead(int relay, std::uint64_t id) const {
+    if (options_.requests_read.empty()) return false;
+    std::ifstream file(options_.folder + "/relay" + std::to_string(relay) + "/" + options_.requests_read);
+    const std::string wanted = "m" + std::to_string(id);
+    for (std::string line; std::getline(file, line);)
+      if (line == wanted) return true;
+    return false;
+  }
   void OnTold(int relay, EndpointId endpoint, EndpointStatus listing) override {
     if (listing != EndpointStatus::kInService) auditor_.ToldDrain(now(), relay, endpoint);
   }
@@ -209,39 +254,48 @@
 
   // ---- troubles ---------------------------------------------------------------------------------------
 
+  // Faults may overlap on one relay: RestartSchedule says what each signal means then.
   void Strike(const RelayFault& fault) {
-    RelayProcess& relay = Of(fault.relay);
-    if (!relay.running()) return;
-    const int number = fault.relay;
-    const Seconds comes =
-        fault.down + (fault.kind == RelayFault::Kind::kStop ? RelayProcess::kKilledAfter : 0);
+    if (!Of(fault.relay).running()) return;
     switch (fault.kind) {
       case RelayFault::Kind::kReload:
-        return relay.Reload();
+        return Of(fault.relay).Reload();
       case RelayFault::Kind::kFreeze:
-        relay.Freeze();
-        ledger_.Deaf(number, now() + fault.down);
-        auditor_.Excuse(number, now() + fault.down + kAfterReady);
-        loop_.At(loop_.Now() + fault.down, [this, number] { Of(number).Thaw(); });
-        return;
+        return Freeze(fault.relay, fault.down);
       case RelayFault::Kind::kStop:
-        relay.Terminate();
-        if (!options_.clients_stay)
-          loop_.At(loop_.Now() + kFrontDrains, [this, number] { front_.SetAlive(number, false); });
-        break;
+        return Stop(fault.relay, fault.down);
       case RelayFault::Kind::kKill:
-        relay.Kill();
-        if (post_) post_->SetThere(number, false);
-        if (fault.forgets)
-          std::filesystem::remove(options_.folder + "/relay" + std::to_string(number) + "/state/tier");
-        loop_.At(loop_.Now() + std::min(kFrontSees, fault.down), [this, number] {
-          if (!Of(number).ready()) front_.SetAlive(number, false);
-        });
-        break;
+        return Kill(fault.relay, fault.down, fault.forgets);
+      case RelayFault::Kind::kKillAfterAccept:
+        killed_after_accept_[fault.relay] = fault.down;
+        return;
     }
-    // From the signal until it is ready again nothing is overdue; OnReady says until when.
-    RelayDied(number, now() + comes + kToReady);
-    loop_.At(loop_.Now() + comes, [this, number] { StartRelay(number); });
+  }
+  void Freeze(int relay, Seconds lasts) {
+    Of(relay).Freeze();
+    ledger_.Deaf(relay, now() + lasts);
+    auditor_.Excuse(relay, now() + lasts + kAfterReady);
+    loop_.At(loop_.Now() + lasts, [this, relay] { Of(relay).Thaw(); });
+  }
+  // From the signal until it is ready again nothing is overdue; OnReady says until when.
+  void Stop(int relay, Seconds down) {
+    const bool is_first = !Of(relay).stopping();
+    Of(relay).Terminate(down);
+    auditor_.Excuse(relay, ReadyAtLatest(relay));
+    if (!is_first) return;
+    if (options_.clients_stay) return front_.RelayStops(relay);
+    loop_.At(loop_.Now() + kFrontDrains, [this, relay] { front_.SetAlive(relay, false); });
+  }
+  void Kill(int relay, Seconds down, bool forgets) {
+    Of(relay).Kill(down);
+    if (forgets) std::filesystem::remove(options_.folder + "/relay" + std::to_string(relay) + "/state/tier");
+  }
+  // Right behind a 202, in the loop's next turn.
+  void KillAfterAccept(int relay) {
+    const auto planned = killed_after_accept_.find(relay);
+    if (planned == killed_after_accept_.end()) return;
+    loop_.At(loop_.Now(), [this, relay, down = planned->second] { Of(relay).Kill(down); });
+    killed_after_accept_.erase(planned);
   }
 
   void Give(const HandGiven& order) {
@@ -308,6 +362,7 @@
     RunResult& r = tally_.result();
     r.breaches = auditor_.breaches();
     r.client_doubles = auditor_.client_doubles();
+    r.restarts = restarts_;
     r.lateness_p99 = lateness_.At(0.99);
     r.lateness_most = most_late_;
     r.answer_time = front_.answer_times();
@@ -363,6 +418,9 @@
   RudeClients rude_clients_;
   std::unique_ptr<PostThread> post_;  // where relays may send one another datagrams
   std::vector<std::unique_ptr<RelayProcess>> relays_;
+  std::map<int, Seconds> started_at_;  // by relay: its latest process
+  Auditor::Restarts restarts_;
+  std::map<int, Seconds> killed_after_accept_;  // by relay: its next process starts so long after
   LatencyHistogram lateness_;
   Seconds most_late_ = 0;
   Seconds start_ = 0;  // 0: the relays are still coming up
--- a/lab/sockets/play.h
+++ b/lab/sockets/play.h
@@ -20,7 +20,12 @@
   std::string folder;                        // for configurations, state and logs; made if it is not there
   // Of a relay's process, before each of its starts: what stands in its environment beside the relay's own.
   std::function<std::map<std::string, std::string>(int relay, const std::string& state_folder)> variables;
-  bool clients_stay = false;              // they use a relay that was told to end until it has
+  // Clients use a relay that was told to end until it has: new connections for a moment, open ones to the
+  // end.
+  bool clients_stay = false;
+  // The relays' processes record the requests that they have read, each in a file of this name in its folder
+  // (lab/faults); a request that was read by a process that is stopping, and not answered, is then a breach.
+  std::string requests_read;
   std::function<bool()> interrupted;      // asked now and then: true ends the run
   std::function<void(Seconds)> progress;  // told each second
   // Above either the laboratory was too late itself, and the run is void.
--- a/lab/sockets/registry.cpp
+++ b/lab/sockets/registry.cpp
@@ -77,6 +77,7 @@
       const net::HttpMessage request = std::move(parser_.message());
       parser_.Reset();
       Answer(request);
+      if (!connection.open()) return;
     }
     if (connection.peer_ended()) registry_.sessions_.Drop(*this);
   }
@@ -92,6 +93,8 @@
     if (request.method == "POST" && request.target == "/v1/notices") return TakeNotices(request.body);
     const std::string path = "/registry/instances";
     if (request.method != "GET" || request.target.rfind(path, 0) != 0) return Write(404, {});
+    if (registry_.FaultOf(relay_, ListFault::Kind::kRefuse) != nullptr)
+      return registry_.sessions_.Drop(*this);
     if (request.target.find("follow=1") == std::string::npos) {
       Write(200, registry_.WholeList(relay_) + "\n");
       return Told(0);
@@ -177,7 +180,7 @@
       sessions_(loop) {
   for (int relay = 0; relay < world.scenario().relays; ++relay) {
     views_.push_back({0, 0, listings_});
-    addresses_.push_back(*net::ParseAddress("127.0.0.1:0"));
+    addresses_.emplace_back();
     listeners_.emplace_back();
     Listen(relay);
   }
@@ -185,10 +188,9 @@
 
 void Registry::Listen(int relay) {
   const auto at = static_cast<std::size_t>(relay);
-  listeners_[at] = std::make_unique<net::Listener>(loop_, addresses_[at], [this, relay](int fd) {
+  listeners_[at] = std::make_unique<net::Listener>(loop_, addresses_[at].address(), [this, relay](int fd) {
     sessions_.Adopt(std::make_unique<Session>(*this, relay), fd);
   });
-  addresses_[at] = listeners_[at]->address();  // the port that it keeps
 }
 
 void Registry::Begin(net::Seconds start) {
@@ -201,12 +203,10 @@
   for (int relay = fault.first; relay <= fault.last; ++relay) {
     const std::vector<Session*> watches = WatchesOf(relay);
     switch (fault.kind) {
+      case ListFault::Kind::kUnreachable:
+        StopListening(relay, fault.lasts);
+        break;
       case ListFault::Kind::kRefuse:
-        listeners_[static_cast<std::size_t>(relay)].reset();
-        loop_.At(loop_.Now() + fault.lasts, [this, relay] {
-          if (!listeners_[static_cast<std::size_t>(relay)]) Listen(relay);
-        });
-        [[fallthrough]];
       case ListFault::Kind::kReset:
       case ListFault::Kind::kOld:
       case ListFault::Kind::kBusy:  // whose watches are ended, and asked for anew
@@ -221,6 +221,14 @@
   }
 }
 
+void Registry::StopListening(int relay, net::Seconds lasts) {
+  listeners_[static_cast<std::size_t>(relay)].reset();
+  for (Session* session : SessionsOf(relay)) sessions_.Drop(*session);
+  loop_.At(loop_.Now() + lasts, [this, relay] {
+    if (!listeners_[static_cast<std::size_t>(relay)]) Listen(relay);
+  });
+}
+
 const ListFault* Registry::FaultOf(int relay, ListFault::Kind kind) const {
   if (start_ <= 0) return nullptr;
   const Seconds now = loop_.Now() - start_;
@@ -232,7 +240,15 @@
 }
 
 bool Registry::CanBeReached(int relay) const {
-  return !IsCut(relay) && listeners_[static_cast<std::size_t>(relay)] != nullptr;
+  return !IsCut(relay) && listeners_[static_cast<std::size_t>(relay)] != nullptr &&
+         FaultOf(relay, ListFault::Kind::kRefuse) == nullptr;
+}
+
+std::vector<Registry::Session*> Registry::SessionsOf(int relay) const {
+  std::vector<Session*> sessions;
+  for (const auto& [key, session] : sessions_.all())
+    if (session->relay() == relay) sessions.push_back(key);
+  return sessions;
 }
 
 std::vector<Registry::Session*> Registry::WatchesOf(int relay) const {
--- a/lab/sockets/registry.h
+++ b/lab/sockets/registry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 
 #include "lab/links.h"
 #include "lab/sessions.h"
+#include "lab/sockets/reserved_address.h"
 #include "lab/world.h"
 #include "net/listener.h"
 
@@ -32,7 +34,7 @@
   void Begin(net::Seconds start);
   ~Registry();
 
-  sockaddr_in address(int relay) const { return addresses_[static_cast<std::size_t>(relay)]; }
+  sockaddr_in address(int relay) const { return addresses_[static_cast<std::size_t>(relay)].address(); }
   // A change; each relay's watch is told after a lateness of its own.
   void Publish(EndpointId endpoint, EndpointStatus listing);
   EndpointStatus ListingOf(EndpointId endpoint) const { return listings_[endpoint - 1]; }
@@ -56,7 +58,9 @@
   const ListFault* FaultOf(int relay, ListFault::Kind kind) const;  // that holds now, or null
   bool CanBeReached(int relay) const;
   void Listen(int relay);
+  void StopListening(int relay, net::Seconds lasts);
   void TellAtLatest(int relay, std::size_t change, net::Seconds reached_since);
+  std::vector<Session*> SessionsOf(int relay) const;
   std::vector<Session*> WatchesOf(int relay) const;
   std::string Row(EndpointId endpoint, EndpointStatus listing, int relay) const;
   std::string ChangesSince(int relay, std::size_t since) const;
@@ -73,7 +77,7 @@
   std::vector<Change> changes_;                            // generation: their number, plus one
   std::vector<View> views_;                                // by relay
   std::vector<std::unique_ptr<net::Listener>> listeners_;  // by relay; none while it refuses
-  std::vector<sockaddr_in> addresses_;
+  std::deque<ReservedAddress> addresses_;                  // by relay; kept while nobody listens there
   Sessions<Session> sessions_;
 };
 
--- a/lab/sockets/relay_process.cpp
+++ b/lab/sockets/relay_process.cpp
@@ -37,7 +37,7 @@
   void End(bool ready) {
     RelayProcess& relay = relay_;
     relay.loop_.Retire(std::move(relay.check_));
-    if (!ready || relay.ready_ || relay.stopping_ || !relay.running()) return;
+    if (!ready || relay.ready_ || relay.stopping() || !relay.running()) return;
     relay.ready_ = true;
     relay.owner_.OnReady(relay.number_);
   }
@@ -72,8 +72,8 @@
 }
 
 void RelayProcess::Start() {
-  Kill();
-  ready_ = stopping_ = frozen_ = false;
+  ready_ = frozen_ = false;
+  schedule_.OnStarted();
   launched_ = loop_.Now();
   WriteConfig();
   std::vector<std::string> arguments = plan_.arguments;
@@ -87,18 +87,24 @@
 }
 
 void RelayProcess::Poll() {
+  const net::Seconds now = loop_.Now();
+  if (schedule_.IsStartDue(now)) {
+    Start();
+    return owner_.OnStart(number_);
+  }
   if (!process_) return;
   if (const auto how = process_->Ended()) {
+    const bool was_told = stopping();
     process_.reset();
     ready_ = false;
-    if (stopping_) return owner_.OnEnd(number_);
-    return owner_.OnCrash(number_, *how);
+    schedule_.OnEnded();
+    return was_told ? owner_.OnEnd(number_) : owner_.OnCrash(number_, *how);
   }
-  const net::Seconds now = loop_.Now();
-  if (stopping_ && now >= stopped_ + kKilledAfter) process_->Signal(SIGKILL);
-  if (ready_ || stopping_) return;
+  if (schedule_.IsKillDue(now)) SendKill();
+  if (ready_ || stopping()) return;
   if (now < launched_ + kToReady) return Ask();
   process_.reset();
+  schedule_.OnEnded();
   owner_.OnCrash(number_, "it was not ready in time");
 }
 
@@ -108,18 +114,29 @@
   client_.Start({address(), 0}, *check_);
 }
 
-void RelayProcess::Terminate() {
-  if (!process_ || stopping_) return;
+void RelayProcess::Terminate(net::Seconds down) {
+  if (!schedule_.OnTerminate(loop_.Now(), down)) return;
   ready_ = false;
-  stopping_ = true;
-  stopped_ = loop_.Now();
   Thaw();
   process_->Signal(SIGTERM);
 }
 
-void RelayProcess::Kill() {
+void RelayProcess::Kill(net::Seconds down) {
+  if (!schedule_.OnKill(loop_.Now(), down)) return;
   ready_ = false;
+  SendKill();
   process_.reset();
+  owner_.OnKilled(number_);
+}
+
+void RelayProcess::SendKill() {
+  killed_at_.try_emplace(starts_, loop_.Now());
+  process_->Signal(SIGKILL);
+}
+
+bool RelayProcess::WasKilled(int start, net::Seconds by) const {
+  const auto killed = killed_at_.find(start);
+  return killed != killed_at_.end() && killed->second <= by;
 }
 
 void RelayProcess::Freeze() {
--- a/lab/sockets/reserved_address.h
+++ b/lab/sockets/reserved_address.h
@@ -1,4 +1,4 @@
-// A loopback TCP address that is kept for a process which has not started yet.
+// A loopback TCP address that is kept while nobody listens there.
 #pragma once
 
 #include <netinet/in.h>
@@ -10,7 +10,10 @@
 // does, may bind it and listen. Until then connections are refused (socket(7), ip(7)).
 class ReservedAddress {
  public:
-  ReservedAddress();  // throws std::system_error if no port is free
+  // A free port of 127.0.0.1, or of the address given, whose own port is not looked at. Throws
+  // std::system_error if there is none.
+  ReservedAddress();
+  explicit ReservedAddress(const in_addr& at);
   ~ReservedAddress();
   ReservedAddress(const ReservedAddress&) = delete;
   ReservedAddress& operator=(const ReservedAddress&) = delete;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -238,6 +238,14 @@
   }
 }
 
+bool HttpClient::HasIdle(const Peer& to) const {
+  const auto place = places_.find(KeyOf(to));
+  if (place == places_.end()) return false;
+  const Lines& lines = place->second.lines;
+  return std::any_of(lines.begin(), lines.end(),
+                     [](const auto& line) { return line->idle() && line->SeemsAlive(); });
+}
+
 // The table is a few hundred connections, and this is asked for only when it is full.
 bool HttpClient::CloseOneIdle() {
   Line* oldest = nullptr;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -74,6 +74,8 @@
   void Start(const Peer& to, Call& call);
   Abandoned Abandon(Call& call);  // gives it up: no callback follows
   void CloseIdle(const Peer& to);
+  // Whether a call could start there now on a connection that is open already.
+  bool HasIdle(const Peer& to) const;
 
   int connections() const { return connections_; }
   long opened() const { return opened_; }
--- a/tests/lab/lab_sockets_test.cpp
+++ b/tests/lab/lab_sockets_test.cpp
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -13,6 +14,7 @@
 #include "config/fields.h"
 #include "lab/capacity/raw.h"
 #include "lab/faults/plan.h"
+#include "lab/faults/requests_read.h"
 #include "lab/report/report.h"
 #include "lab/simulation.h"
 #include "lab/soak/soak.h"
@@ -20,6 +22,7 @@
 #include "lab/sockets/loopback.h"
 #include "lab/sockets/play.h"
 #include "lab/sockets/process.h"
+#include "lab/sockets/registry.h"
 #include "lab/sockets/relay_process.h"
 #include "net/address.h"
 #include "net/http.h"
@@ -102,6 +105,77 @@
   }
 };
 
+TEST_CASE("lab: what a restart finds untried in good time, and ends early with no call, is counted") {
+  Books b;
+  const auto accepted = [&b] {
+    const std::uint64_t id = b.ledger.HandIn(0, 3, b.client);
+    b.ledger.TakenOn(0.1, id);
+    return id;
+  };
+  const std::uint64_t ends_early = accepted(), ends_late = accepted(), is_called = accepted();
+  const std::uint64_t was_called = accepted();
+  b.ledger.Arrived(0.2, 3, was_called, 1);
+  const double lasts = b.ledger.DeadlineOf(b.client);
+  b.ledger.RelayRestarted(0.4 * lasts, 2);  // another relay
+  CHECK(b.ledger.untried() == 0);
+  b.ledger.RelayRestarted(0.4 * lasts, 3);
+  b.ledger.RelayRestarted(0.45 * lasts, 3);
+  CHECK(b.ledger.untried() == 3);
+  b.ledger.Noticed(0.6 * lasts, ends_early, Ledger::Notice::kHandedBack, 0);
+  b.ledger.Noticed(0.9 * lasts, ends_late, Ledger::Notice::kGivenUp, 0);
+  b.ledger.Arrived(0.5 * lasts, 3, is_called, 1);
+  b.ledger.Noticed(0.6 * lasts, is_called, Ledger::Notice::kGivenUp, 0);
+  CHECK(b.ledger.untried_ended() == 1);
+}
+
+TEST_CASE("lab: restarts that are late, or end what they found untried, break a rule") {
+  const auto breaches = [](const Auditor::Restarts& restarts) {
+    Auditor auditor(Auditor::Rules{}, {});
+    auditor.Restarted(1, restarts);
+    return auditor.breaches().size();
+  };
+  CHECK(breaches({}) == 0);
+  CHECK(breaches({10, 1, 4, 2}) == 0);
+  CHECK(breaches({9, 1, 4, 2}) == 1);
+  CHECK(breaches({10, 1, 4, 3}) == 1);
+}
+
+// Guards against a stand-in that takes notifications away with the list: the platform answers them even while
+// its list is down.
+TEST_CASE("lab: while the list is refused, notifications are answered") {
+  struct Platform : Registry::Owner {
+    void OnTold(int, EndpointId, EndpointStatus) override {}
+    void OnNotice(const std::string&, bool, Seconds) override { ++notifications; }
+    int notifications = 0;
+  } platform;
+  const Scenario scenario = ReadScenario(
+      {{"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
+       {"list_faults", {{{"kind", "refuse"}, {"first", 0}, {"last", 0}, {"from_s", 0}, {"lasts_s", 100}}}}});
+  const net::SystemClock clock;
+  net::EventLoop loop(clock);
+  const World world(scenario, 1);
+  Registry registry(
+      loop, world, 1, [](EndpointId, int) { return "127.0.0.1:9"; }, platform);
+  registry.Begin(loop.Now());
+  const auto answer_to = [&](const std::string& request) {
+    const int fd = raw::Connect(registry.address(0));
+    std::string answer;
+    bool open = raw::WriteAll(fd, request);
+    for (int i = 0; open && answer.empty() && i < 100; ++i) {
+      loop.RunOnce(0.01);
+      open = raw::ReadAll(fd, answer);
+    }
+    close(fd);
+    return answer;
+  };
+  const std::string line = R"({"message":"m1","outcome":"given_up"})";
+  CHECK(answer_to(net::WriteRequest("GET", "/registry/instances", {{"Host", "lab"}}, "")).empty());
+  CHECK(answer_to(net::WriteRequest("GET", "/registry/instances?follow=1", {{"Host", "lab"}}, "")).empty());
+  CHECK(answer_to(net::WriteRequest("POST", "/v1/notices", {{"Host", "lab"}}, line + "\n"))
+            .rfind("HTTP/1.1 204", 0) == 0);
+  CHECK(platform.notifications == 1);
+}
+
 TEST_CASE("lab: a message counts as delivered once its client has heard and its partner has served") {
   Books b;
   const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
@@ -406,6 +480,85 @@
   CHECK(short_of_memory.breaches.empty());
 }
 
+constexpr net::Seconds kStopsAt = 1.5;
+
+// A short day on which one of two relays is told to end; what it writes to sockets may fail from about then
+// on.
+RunResult PlayStop(const Folder& folder, bool writes_fail) {
+  SocketOptions options = OptionsIn(folder / "run");
+  options.clients_stay = true;
+  options.requests_read = "requests_read";
+  options.most_lateness = options.most_lateness_p99 = 100;  // it is about connections that end
+  options.variables = [writes_fail](int relay, const std::string& state_folder) {
+    faults::Plan plan;
+    plan.seed = 5;
+    plan.folder = state_folder;
+    plan.requests_read = fs::path(state_folder).replace_filename("requests_read");
+    if (writes_fail && relay == 0)
+      plan.episodes.push_back({faults::Call::kWrite, EIO, kStopsAt, kStopsAt + 5, 1, 0});
+    return std::map<std::string, std::string>{{"LD_PRELOAD", FAULTS_LIBRARY},
+                                              {faults::kPlanVariable, plan.Write()}};
+  };
+  json day = SmallDay();
+  day.erase("troubles");
+  day["lasts_s"] = 3;
+  day["load"]["rate"] = 200;
+  day["relay_faults"] = {{{"kind", "stop"}, {"relay", 0}, {"at_s", kStopsAt}, {"down_s", 0.1}}};
+  return PlayOnSockets(ReadScenario(day), 1, options);
+}
+
+// Guards against an auditor that looks away once a relay has been told to end.
+TEST_CASE("lab: a stopping relay that closes a connection with a request read and not answered is caught") {
+  const Folder folder;
+  const RunResult result = PlayStop(folder, true);
+  // The faults' clock is the process's, which begins a little before the day's: until the signal the relay
+  // serves.
+  CHECK(std::any_of(result.breaches.begin(), result.breaches.end(), [](const Breach& breach) {
+    return breach.kind == BreachKind::kClosed && breach.at > kStopsAt + 0.01;
+  }));
+}
+
+TEST_CASE("lab: a sound relay's stop breaks no rule under clients that stay") {
+  const Folder folder;
+  const RunResult result = PlayStop(folder, false);
+  for (const Breach& breach : result.breaches) MESSAGE(NameOf(breach.kind), " ", breach.trace);
+  CHECK(result.breaches.empty());
+}
+
+// Guards against a record that names requests too early, or leaves some out where reads are cut short.
+TEST_CASE("lab: a request is recorded as read with its last byte, however reads cut it") {
+  const Folder folder;
+  const std::string path = folder / "requests_read";
+  constexpr int kDescriptor = 7;
+  faults::RequestsRead requests(path);
+  const auto read = [&requests](std::string bytes) {
+    const std::size_t half = bytes.size() / 2;
+    const iovec parts[] = {{bytes.data(), half}, {bytes.data() + half, bytes.size() - half}};
+    requests.Read(kDescriptor, parts, 2, bytes.size());
+  };
+  const auto recorded = [&path] {
+    std::ifstream file(path);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  };
+  const auto request = [](const std::string& id) {
+    return net::WriteRequest("POST", "/api", {{"Host", "lab"}, {"X-Txn", id}}, "hello");
+  };
+  read(request("m1"));  // of a descriptor that is no client's
+  CHECK(recorded().empty());
+  requests.Accepted(kDescriptor);
+  const std::string second = request("m2");
+  for (std::size_t i = 0; i + 1 < second.size(); ++i) read(second.substr(i, 1));
+  CHECK(recorded().empty());
+  read(second.substr(second.size() - 1));
+  CHECK(recorded() == "m2\n");
+  read(request("m3") + request("m4") + request("m5").substr(0, 20));
+  CHECK(recorded() == "m2\nm3\nm4\n");
+  requests.Closed(kDescriptor);
+  requests.Accepted(kDescriptor);  // the half request was another connection's
+  read(request("m6"));
+  CHECK(recorded() == "m2\nm3\nm4\nm6\n");
+}
+
 TEST_CASE("lab: a plan of faults is read as it was written, and a seed draws the same one again") {
   for (std::uint64_t seed = 1; seed < 20; ++seed) {
     const std::string text = DrawFaults(seed, 3, 1, "/state").Write();
--- /dev/null
+++ b/tests/lab/restart_schedule_test.cpp
@@ -0,0 +1,77 @@
+// Guards against a process that is killed behind the auditor's back where signals to one relay overlap.
+#include "lab/sockets/restart_schedule.h"
+
+#include <doctest/doctest.h>
+
+namespace opalroute::lab {
+namespace {
+
+using State = RestartSchedule::State;
+constexpr net::Seconds kKillAfter = 3.7;
+
+RestartSchedule Running() {
+  RestartSchedule schedule(kKillAfter);
+  schedule.OnStarted();
+  return schedule;
+}
+
+TEST_CASE("lab: SIGTERM is followed by SIGKILL after its grace period, and by a start") {
+  RestartSchedule schedule = Running();
+  CHECK(schedule.OnTerminate(1, 0.5));
+  CHECK(schedule.state() == State::kStopping);
+  CHECK(!schedule.IsKillDue(4.69));
+  CHECK(schedule.IsKillDue(4.7));
+  CHECK(!schedule.IsStartDue(10));  // not while a process is there
+  schedule.OnEnded();
+  CHECK(!schedule.IsKillDue(5));
+  CHECK(!schedule.IsStartDue(5.19));
+  CHECK(schedule.IsStartDue(5.2));
+  schedule.OnStarted();
+  CHECK(schedule.state() == State::kRunning);
+  CHECK(!schedule.IsStartDue(100));
+}
+
+TEST_CASE("lab: a process that ends early is started no earlier for it") {
+  RestartSchedule schedule = Running();
+  schedule.OnTerminate(1, 0.5);
+  schedule.OnEnded();
+  CHECK(!schedule.IsStartDue(5.1));
+  CHECK(schedule.IsStartDue(5.3));
+}
+
+TEST_CASE("lab: a second SIGTERM is sent and moves neither SIGKILL nor the start") {
+  RestartSchedule schedule = Running();
+  schedule.OnTerminate(1.42, 0.58);
+  CHECK(schedule.OnTerminate(2.34, 0.82));
+  CHECK(schedule.IsKillDue(5.12));
+  schedule.OnEnded();
+  CHECK(schedule.next_start() == doctest::Approx(1.42 + kKillAfter + 0.58));
+  schedule.OnStarted();
+  CHECK(!schedule.IsStartDue(2.34 + kKillAfter + 0.82));  // no second start, and so no hidden kill
+}
+
+TEST_CASE("lab: SIGKILL while it stops ends it, and the next start counts from there") {
+  RestartSchedule schedule = Running();
+  schedule.OnTerminate(1, 0.5);
+  CHECK(schedule.OnKill(2, 0.3));
+  CHECK(schedule.state() == State::kDown);
+  CHECK(!schedule.IsKillDue(10));
+  CHECK(schedule.IsStartDue(2.3));
+}
+
+TEST_CASE("lab: a signal that finds no process changes nothing") {
+  RestartSchedule schedule = Running();
+  schedule.OnKill(1, 1);
+  CHECK(!schedule.OnKill(1.5, 0.1));
+  CHECK(!schedule.OnTerminate(1.5, 0.1));
+  CHECK(schedule.next_start() == doctest::Approx(2));
+}
+
+TEST_CASE("lab: a crash is followed by no start") {
+  RestartSchedule schedule = Running();
+  schedule.OnEnded();
+  CHECK(!schedule.IsStartDue(1000));
+}
+
+}  // namespace
+}  // namespace opalroute::lab
