Notifications: what happens while the platform can't be reached is written down and tested

Change: tests on a clock that the test moves. A platform that refuses connections for 60 s is tried at no more than the backoff's rate (and no less), and gets 200 notifications in order, each acknowledged once, within 0.6 s of its return; one that is silent has at most three tries open; what waits counts towards the disk's limit, so new requests are refused before they are accepted.

Measured: the tests pass on the code as it is.

--- a/tests/journal/journal_test.cpp
+++ b/tests/journal/journal_test.cpp
@@ -145,6 +145,25 @@
   }
 }
 
+// Guards against notifications that pile up without bound while the platform can't be reached: they keep
+// their space until each is acknowledged, and new requests are refused meanwhile.
+TEST_CASE("notifications that wait for the platform count towards the disk's limit") {
+  Folder folder;
+  constexpr std::size_t kDisk = 300'000;
+  Journal journal(folder.path, kDisk);
+  int accepted = 0;
+  for (; journal.RecordAccepted(Request("r" + std::to_string(accepted), 212)); ++accepted) {
+    REQUIRE(accepted < 10'000);
+    REQUIRE(journal.RecordEndWithNotification("r" + std::to_string(accepted), "the platform is told"));
+  }
+  CHECK(accepted > 100);
+  CHECK(folder.Blocks() <= kDisk);
+  CHECK(journal.entries().size() == static_cast<std::size_t>(accepted));
+  for (int i = 0; i < accepted; ++i) REQUIRE(journal.RecordEnd("r" + std::to_string(i)));
+  CHECK(journal.entries().empty());
+  CHECK(journal.RecordAccepted(Request("after", 212)));
+}
+
 // A compaction that the process did not live to end leaves its file: the old one stands.
 TEST_CASE("a half-written compaction is dropped") {
   Folder folder;
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -12,6 +12,7 @@
 #include "net/connection.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "tests/support/hand_clock.h"
 
 namespace opalroute::net {
 namespace {
@@ -127,13 +128,6 @@
   for (const int fd : fds) close(fd);
 }
 
-class HandClock : public Clock {
- public:
-  Seconds Now() const override { return now; }
-  std::int64_t WallMicros() const override { return static_cast<std::int64_t>(now * 1e6); }
-  Seconds now = 1000;
-};
-
 // Guards against clients that leave connections open and use them no more: at the bound of their own they
 // could open no further one, though the table here had room for theirs.
 TEST_CASE("connections rest for less once they take more than half of the table") {
--- /dev/null
+++ b/tests/notification/failure_notifier_test.cpp
@@ -0,0 +1,133 @@
+// Notifications for a platform that can't be reached, or takes connections and says nothing.
+#include "notification/failure_notifier.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/address.h"
+#include "net/http_server.h"
+#include "relay/client_bounds.h"
+#include "tests/support/hand_clock.h"
+
+namespace opalroute {
+namespace {
+
+constexpr int kNotifications = 200;
+constexpr net::Seconds kStep = 0.01;
+constexpr net::Seconds kOutage = 60;
+constexpr int kBacklog = 16;
+
+// A socket that is bound and does not listen: connections there are refused (ip(7)).
+int BindWithoutListening() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in any = *net::ParseAddress("127.0.0.1:0");
+  REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) == 0);
+  return fd;
+}
+
+net::ServerBounds PlatformBounds() {
+  net::ServerBounds bounds;
+  bounds.http = {4096, 16, 65536};
+  bounds.answer_bytes = 4096;
+  bounds.connections = bounds.reject_connections = 16;
+  bounds.requests_a_turn = 4;
+  bounds.first_time = bounds.request_time = bounds.idle_time = bounds.linger_time = 3600;
+  return bounds;
+}
+
+class Platform : public net::HttpServer::Handler {
+ public:
+  net::HttpAnswer OnRequest(net::HttpMessage& request) override {
+    bodies.push_back(request.body);
+    return {204, {}, {}, 0};
+  }
+  void OnAnswerLost(std::uint64_t) override {}
+  std::vector<std::string> bodies;
+};
+
+struct Notifying {
+  net::HandClock clock;
+  net::EventLoop loop{clock};
+  Limits limits;
+  int fd = BindWithoutListening();
+  sockaddr_in address = net::BoundAddress(fd);
+  Platform platform;
+  std::unique_ptr<net::HttpServer> server;
+  net::HttpClient client{loop, PlatformClientBounds(limits)};
+  std::map<std::string, int> arrived;
+  FailureNotifier notifier{loop, client, address, limits,
+                           [this](const std::string& request) { ++arrived[request]; }};
+
+  ~Notifying() {
+    if (!server) close(fd);
+  }
+  void AddAll() {
+    for (int i = 0; i < kNotifications; ++i) {
+      const std::string id = std::to_string(1000 + i);
+      notifier.Add(id, "line " + id);
+    }
+  }
+  void Listen() {
+    REQUIRE(listen(fd, kBacklog) == 0);
+    server = std::make_unique<net::HttpServer>(loop, fd, PlatformBounds(), platform);
+  }
+  void RunFor(net::Seconds duration) {
+    constexpr int kTurnsPerStep = 4;
+    for (const net::Seconds until = clock.now + duration; clock.now < until; clock.now += kStep) {
+      for (int turn = 0; turn < kTurnsPerStep; ++turn) loop.RunOnce(0);
+    }
+  }
+  std::string AllBodies() const {
+    std::string all;
+    for (const std::string& body : platform.bodies) all += body;
+    return all;
+  }
+  void CheckAllArrivedInOrder() const {
+    std::string expected;
+    for (int i = 0; i < kNotifications; ++i) expected += "line " + std::to_string(1000 + i) + "\n";
+    CHECK(AllBodies() == expected);
+    CHECK(arrived.size() == kNotifications);
+    for (const auto& [request, times] : arrived) CHECK(times == 1);
+    CHECK(notifier.empty());
+  }
+};
+
+// Guards against notifications that are dropped after so many failures, and against a relay that stops
+// trying, or tries without pause, while the platform is away.
+TEST_CASE("notifications: a platform that refuses connections is tried at a bounded rate until it is back") {
+  Notifying n;
+  n.AddAll();
+  n.RunFor(kOutage);
+  CHECK(n.arrived.empty());
+  const auto attempts = static_cast<double>(n.client.opened());
+  CHECK(attempts >= kOutage / (n.limits.notice_backoff_most + kStep));
+  CHECK(attempts <= kOutage / n.limits.notice_backoff_most + 20);  // the quick retries come on top
+  n.Listen();
+  n.RunFor(n.limits.notice_backoff_most + 0.1);
+  n.CheckAllArrivedInOrder();
+}
+
+// Guards against attempts that pile up on connections that bring no answer.
+TEST_CASE("notifications: a platform that is silent has a bounded number of attempts open") {
+  Notifying n;
+  REQUIRE(listen(n.fd, kBacklog) == 0);  // the kernel takes connections, and nobody reads
+  n.AddAll();
+  int most = 0;
+  for (net::Seconds at = 0; at < kOutage; at += 0.1) {
+    n.RunFor(0.1);
+    most = std::max(most, n.client.connections());
+  }
+  CHECK(n.arrived.empty());
+  CHECK(most >= 2);
+  CHECK(most <= static_cast<int>(n.limits.notice_tries));
+}
+
+}  // namespace
+}  // namespace opalroute
