--- a/lab/sockets/front.h
+++ b/lab/sockets/front.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lab/sockets/ledger.h"
+#include "lab/sockets/unwatched_connection.h"
 #include "lab/traffic.h"
 #include "net/http_client.h"
 
@@ -30,10 +31,14 @@
   // The relay has been told to end: new connections come to it for a moment more, and requests on open ones
   // until these are closed, some of them in the very moments in which a relay closes connections.
   void RelayStops(int relay);
+  // The relay has become ready: some connections to it rest until their first request is due, and cross the
+  // moment in which the relay gives them up.
+  void CrossFirstRequests(int relay);
   void Begin(net::Seconds start);
   std::function<void(int relay)> on_accepted;  // told when a relay has accepted a request
-  // Told when a connection has ended that had taken a whole request and brought no answer.
-  std::function<void(int relay, std::uint64_t id)> on_closed;
+  // Told when a connection has ended that had taken a whole request and brought no answer. `crossed`: it may
+  // have been closed between requests, before this one was sent.
+  std::function<void(int relay, std::uint64_t id, bool crossed)> on_closed;
   bool done() const { return done_ && calls_.empty() && coming_ == 0; }
   const LatencyHistogram& answer_times() const { return answer_times_; }  // last byte sent to 202 read
 
@@ -42,12 +47,18 @@
   Seconds now() const { return loop_.Now() - start_; }
   void Avoid(int relay);  // nobody listens there
   void Arm();
+  bool MayHandIn(std::size_t client, Seconds at) const;
   void HandIn(std::size_t client, const char* resent, int preferred = kAnyRelay);
+  // A call that is not sent yet; `at`: when it will be.
+  Call& AddCall(std::size_t client, int relay, const char* resent, Seconds at);
   int PickRelay(int preferred);  // kAnyRelay: none is known to be alive
   bool MayTake(int relay) const;
   // The crossing that this moment's arrivals are kept for, if there is one.
   struct Crossing;
-  const Crossing* CrossingNow() const;
+  Crossing& AddCrossing(int relay, Seconds after);
+  void OpenUnwatched(Crossing& crossing, int count);
+  Crossing* CrossingNow();
+  void Cross(Crossing& crossing, std::size_t client);
   void ComeAgain(std::size_t client, Seconds advice);
   void Later(std::size_t client, Seconds wait, const char* resent);
   void Drop(Call& call);
@@ -70,6 +81,9 @@
   struct Crossing {
     int relay = 0;
     net::Seconds from = 0, at = 0;
+    int starts = 0;  // the relay's process
+    std::vector<std::unique_ptr<UnwatchedConnection>> connections;
+    bool needs_connection = false;  // takes an arrival for each connection, and no others
   };
   std::vector<Relay> relays_;
   std::vector<Crossing> crossings_;
