Laboratory: a process that was started holds none of the laboratory's sockets any more

Cause: between fork and execve a child holds copies of all descriptors. A listener that the laboratory closed in that time went on listening in the child, so its address could not be taken for the machine that is cut off; connections would have been accepted there, too.

Change: Process returns once the child has run execve or ended, told by a pipe that execve closes.

--- a/lab/sockets/loopback.cpp
+++ b/lab/sockets/loopback.cpp
@@ -5,14 +5,30 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdio>
+#include <fstream>
+#include <string>
 #include <system_error>
 
+#include "net/address.h"
+
 namespace opalroute::lab {
 
 namespace {
 
 constexpr std::uint32_t kFirst = (127U << 24) + (32U << 16);
 
+// The kernel's lines for sockets of the port (proc(5), /proc/net/tcp).
+std::string SocketsAt(std::uint16_t port) {
+  char wanted[8];
+  std::snprintf(wanted, sizeof(wanted), ":%04X ", port);
+  std::ifstream table("/proc/net/tcp");
+  std::string found;
+  for (std::string line; std::getline(table, line);)
+    if (line.find(wanted) != std::string::npos) found += "\n" + line;
+  return found;
+}
+
 }  // namespace
 
 // Bound to no address, but to the loopback device, so nobody else reaches it (SO_BINDTODEVICE, socket(7); for
@@ -38,7 +54,10 @@
   if (listener_ < 0 || bind(listener_, to, sizeof(address)) != 0 || listen(listener_, 0) != 0) {
     const int error = errno;
     if (listener_ >= 0) close(listener_);
-    throw std::system_error(error, std::generic_category(), "a machine that is cut off");
+    const std::string others = SocketsAt(ntohs(address.sin_port));
+    throw std::system_error(
+        error, std::generic_category(),
+        "a machine that is cut off, " + net::FormatAddress(address) + ", beside" + others);
   }
   for (int& filler : fillers_) {
     filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/lab/sockets/process.cpp
+++ b/lab/sockets/process.cpp
@@ -22,6 +22,18 @@
   if (getppid() != parent) _exit(126);
 }
 
+namespace {
+
+// Until the child has run execve or ended it holds copies of all descriptors: a listener that is closed here
+// would go on listening there.
+void WaitForEnd(int pipe) {
+  char byte = 0;
+  while (read(pipe, &byte, 1) < 0 && errno == EINTR) {
+  }
+}
+
+}  // namespace
+
 Process::Process(const std::string& program, const std::vector<std::string>& arguments,
                  const std::map<std::string, std::string>& variables, std::string log)
     : log_(std::move(log)) {
@@ -44,6 +56,12 @@
   environment.push_back(nullptr);
   const int out = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   if (out < 0) throw std::system_error(errno, std::generic_category(), "the log " + log_);
+  int started[2];
+  if (pipe2(started, O_CLOEXEC) != 0) {
+    const int error = errno;
+    close(out);
+    throw std::system_error(error, std::generic_category(), "a pipe to a process");
+  }
   pid_ = fork();
   if (pid_ == 0) {
     EndWithParent(parent);
@@ -57,6 +75,9 @@
   }
   const int error = errno;
   close(out);
+  close(started[1]);
+  if (pid_ > 0) WaitForEnd(started[0]);
+  close(started[0]);
   if (pid_ < 0) throw std::system_error(error, std::generic_category(), "fork");
 }
 
