DNS: names that no server answers are asked for again at a bounded rate

Seen: with SRV on, 5,000 names and a server that fails, a relay sent 8,120 queries in one second (the new test on the code before, worst second of 60).

Cause: each name's retry was drawn alone, 5 s plus or minus 25 %, with four tries each; only the questions in flight were bounded, and a SERVFAIL frees those at once.

Change: RetryPacer, pure, gives each failed question about 5 s, and at least 1/40 s behind the one before. The price: a round of 5,000 names takes 125 s, so the last of them is current so long after the servers are back; answers are kept for an hour.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -74,7 +74,8 @@
   double dns_most_lifetime = 3600;                      // ... and a longer one as this
   double dns_negative_lifetime = 60;                    // the longest of 'no such name' and 'no such record'
   double dns_stale = 3600;           // an answer is good for so long after its lifetime if servers fail
-  double dns_retry = 5;              // after a question that no server has answered
+  double dns_retry = 5;              // after a question that no server has answered ...
+  double dns_retry_rate = 40;        // ... and so many of them a second at most
   std::size_t dns_entries = 50'000;  // answers kept
   // operators' questions
   int admin_connections = 4;
--- a/src/dns/resolver.cpp
+++ b/src/dns/resolver.cpp
@@ -42,7 +42,8 @@
       limits_(limits),
       random_(seed),
       servers_(addresses_.size()),
-      cache_(RulesOf(limits)) {
+      cache_(RulesOf(limits)),
+      retries_(limits.dns_retry, limits.dns_retry_rate) {
   for (const sockaddr_in& address : addresses_)
     channels_.push_back(std::make_unique<TcpChannel>(loop, address, limits));
 }
@@ -252,7 +253,7 @@
   --flying_;
   Outcome told = outcome;
   if (!told.answer) {
-    told.refresh_at = loop_.Now() + limits_.dns_retry * (0.75 + 0.5 * Draw());
+    told.refresh_at = retries_.NextFor(loop_.Now(), Draw());
     if (const auto found = cache_.Find(question, loop_.Now())) {
       told.answer = *found->answer;
       told.stale = true;
--- a/src/dns/resolver.h
+++ b/src/dns/resolver.h
@@ -15,6 +15,7 @@
 
 #include "config/limits.h"
 #include "dns/cache.h"
+#include "dns/retry_pacer.h"
 #include "dns/servers.h"
 #include "dns/tcp_channel.h"
 #include "net/datagram.h"
@@ -91,6 +92,7 @@
   std::uint64_t random_;
   Servers servers_;
   Cache cache_;
+  RetryPacer retries_;
   ResolverCounters counters_;
   Flights flights_;
   std::deque<Question> line_;  // flights that wait for others to land, the last asked last
--- a/tests/discovery/srv_test.cpp
+++ b/tests/discovery/srv_test.cpp
@@ -228,5 +228,31 @@
   CHECK(most < 200);  // two and a half times the mean, and not 5,000 at once
 }
 
+// Guards against retries that keep an overloaded server overloaded: 5,000 names every 5 s, four tries each.
+TEST_CASE("srv: 5,000 names that the server fails to answer are asked for again at a bounded rate") {
+  Scenario scenario;
+  scenario.settings.srv_names.clear();
+  for (int i = 0; i < 5000; ++i) {
+    const std::string name = "_api._tcp.p" + std::to_string(i) + ".example";
+    scenario.settings.srv_names.emplace_back(name, i);
+    lab::NameServer::Entry entry;
+    entry.rcode = dns::Rcode::kServFail;
+    scenario.server.Set(SrvQuestion(name), entry);
+  }
+  scenario.Start();
+  for (int i = 0; i < 500 && scenario.source->unanswered() > 0; ++i) scenario.Play(0.02);
+  REQUIRE(scenario.source->unanswered() == 0);
+  const long before = scenario.server.datagrams();
+  long most = 0;
+  for (int second = 0; second < 60; ++second) {
+    const long at = scenario.server.datagrams();
+    scenario.Play(1);
+    most = std::max(most, scenario.server.datagrams() - at);
+  }
+  MESSAGE("5,000 names that fail: at most " << most << " queries in a second");
+  CHECK(scenario.server.datagrams() - before > 60);  // they are asked for all the same
+  CHECK(most < 200);                                 // as where they are answered
+}
+
 }  // namespace
 }  // namespace opalroute
--- a/tests/dns/dns_test.cpp
+++ b/tests/dns/dns_test.cpp
@@ -10,6 +10,7 @@
 
 #include "dns/cache.h"
 #include "dns/resolver.h"
+#include "dns/retry_pacer.h"
 #include "dns/servers.h"
 #include "lab/clock.h"
 #include "lab/dns/name_server.h"
@@ -314,6 +315,20 @@
   CHECK(servers.Patience(1, 9) == 2);
 }
 
+TEST_CASE("dns: few questions are asked again after the usual time, many one after another") {
+  RetryPacer few(5, 40);
+  CHECK(few.NextFor(100, 0) == doctest::Approx(103.75));
+  CHECK(few.NextFor(100, 0.5) == doctest::Approx(105));
+  CHECK(few.NextFor(200, 0.5) == doctest::Approx(205));
+  RetryPacer many(5, 40);
+  Seconds last = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const Seconds next = many.NextFor(100, 0);
+    if (i > 0) CHECK(next - last == doctest::Approx(1 / 40.0));
+    last = next;
+  }
+}
+
 // ---- the resolver
 // ------------------------------------------------------------------------------------------
 
