Laboratory: a machine is cut off also while another play starts its processes

The play that closes its listener can't know of the other thread's fork.

Change: the stand-in for a machine that is cut off tries its address for up to 0.2 s, a millisecond apart, while it is taken.

--- a/lab/sockets/loopback.cpp
+++ b/lab/sockets/loopback.cpp
@@ -5,10 +5,12 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <string>
 #include <system_error>
+#include <thread>
 
 #include "net/address.h"
 
@@ -29,6 +31,20 @@
   return found;
 }
 
+// A listener that was closed here a moment ago goes on listening in a child that another thread has forked,
+// until the child runs execve.
+bool BindOnceFree(int fd, const sockaddr_in& address) {
+  constexpr int kTries = 200;
+  constexpr auto kPause = std::chrono::milliseconds(1);
+  for (int i = 0; i < kTries; ++i) {
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) return true;
+    if (errno != EADDRINUSE) return false;
+    std::this_thread::sleep_for(kPause);
+  }
+  errno = EADDRINUSE;
+  return false;
+}
+
 }  // namespace
 
 // Bound to no address, but to the loopback device, so nobody else reaches it (SO_BINDTODEVICE, socket(7); for
@@ -51,7 +67,7 @@
   const int on = 1;
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (listener_ < 0 || bind(listener_, to, sizeof(address)) != 0 || listen(listener_, 0) != 0) {
+  if (listener_ < 0 || !BindOnceFree(listener_, address) || listen(listener_, 0) != 0) {
     const int error = errno;
     if (listener_ >= 0) close(listener_);
     const std::string others = SocketsAt(ntohs(address.sin_port));
