--- a/tests/lab/lab_sockets_test.cpp
+++ b/tests/lab/lab_sockets_test.cpp
@@ -1,32 +1,26 @@
 // The laboratory on sockets: real relay processes, and the page on a run.
 #include <doctest/doctest.h>
-#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <functional>
 #include <regex>
 
 #include "config/fields.h"
-#include "lab/capacity/raw.h"
 #include "lab/faults/plan.h"
 #include "lab/faults/requests_read.h"
 #include "lab/report/report.h"
 #include "lab/simulation.h"
 #include "lab/soak/soak.h"
-#include "lab/sockets/endpoints.h"
-#include "lab/sockets/loopback.h"
 #include "lab/sockets/play.h"
 #include "lab/sockets/process.h"
-#include "lab/sockets/registry.h"
 #include "lab/sockets/relay_process.h"
 #include "net/address.h"
 #include "net/http.h"
 #include "tests/support/program.h"
+#include "tests/support/somebody_listens.h"
 
 namespace opalroute::lab {
 namespace {
@@ -81,272 +75,6 @@
   return result;
 }
 
-bool SomebodyListens(const std::string& address) {
-  try {
-    close(raw::Connect(*net::ParseAddress(address)));
-    return true;
-  } catch (const std::exception&) {
-    return false;
-  }
-}
-
-// ---- the ledger ----------------------------------------------------------------------------------------
-
-struct Books {
-  Scenario scenario = ReadScenario({{"partners", {{"count", 1}, {"endpoints", {1, 1}}}}});
-  World world{scenario, 1};
-  Auditor auditor{Auditor::Rules{}, scenario.settings.classes};
-  Tally tally{world, 1};
-  Ledger ledger{world, auditor, tally};
-  std::size_t client = 0;
-  Books() {
-    auditor.Listed(1, 1, 0);
-    client = ledger.Ask({0, 2, 0});  // a payment
-  }
-};
-
-TEST_CASE("lab: what a restart finds untried in good time, and ends early with no call, is counted") {
-  Books b;
-  const auto accepted = [&b] {
-    const std::uint64_t id = b.ledger.HandIn(0, 3, b.client);
-    b.ledger.TakenOn(0.1, id);
-    return id;
-  };
-  const std::uint64_t ends_early = accepted(), ends_late = accepted(), is_called = accepted();
-  const std::uint64_t was_called = accepted();
-  b.ledger.Arrived(0.2, 3, was_called, 1);
-  const double lasts = b.ledger.DeadlineOf(b.client);
-  b.ledger.RelayRestarted(0.4 * lasts, 2);  // another relay
-  CHECK(b.ledger.untried() == 0);
-  b.ledger.RelayRestarted(0.4 * lasts, 3);
-  b.ledger.RelayRestarted(0.45 * lasts, 3);
-  CHECK(b.ledger.untried() == 3);
-  b.ledger.Noticed(0.6 * lasts, ends_early, Ledger::Notice::kHandedBack, 0);
-  b.ledger.Noticed(0.9 * lasts, ends_late, Ledger::Notice::kGivenUp, 0);
-  b.ledger.Arrived(0.5 * lasts, 3, is_called, 1);
-  b.ledger.Noticed(0.6 * lasts, is_called, Ledger::Notice::kGivenUp, 0);
-  CHECK(b.ledger.untried_ended() == 1);
-}
-
-TEST_CASE("lab: restarts that are late, or end what they found untried, break a rule") {
-  const auto breaches = [](const Auditor::Restarts& restarts) {
-    Auditor auditor(Auditor::Rules{}, {});
-    auditor.Restarted(1, restarts);
-    return auditor.breaches().size();
-  };
-  CHECK(breaches({}) == 0);
-  CHECK(breaches({10, 1, 4, 2}) == 0);
-  CHECK(breaches({9, 1, 4, 2}) == 1);
-  CHECK(breaches({10, 1, 4, 3}) == 1);
-}
-
-// Guards against a stand-in that takes notifications away with the list: the platform answers them even while
-// its list is down.
-TEST_CASE("lab: while the list is refused, notifications are answered") {
-  struct Platform : Registry::Owner {
-    void OnTold(int, EndpointId, EndpointStatus) override {}
-    void OnNotice(const std::string&, bool, Seconds) override { ++notifications; }
-    int notifications = 0;
-  } platform;
-  const Scenario scenario = ReadScenario(
-      {{"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
-       {"list_faults", {{{"kind", "refuse"}, {"first", 0}, {"last", 0}, {"from_s", 0}, {"lasts_s", 100}}}}});
-  const net::SystemClock clock;
-  net::EventLoop loop(clock);
-  const World world(scenario, 1);
-  Registry registry(
-      loop, world, 1, [](EndpointId, int) { return "127.0.0.1:9"; }, platform);
-  registry.Begin(loop.Now());
-  const auto answer_to = [&](const std::string& request) {
-    const int fd = raw::Connect(registry.address(0));
-    std::string answer;
-    bool open = raw::WriteAll(fd, request);
-    for (int i = 0; open && answer.empty() && i < 100; ++i) {
-      loop.RunOnce(0.01);
-      open = raw::ReadAll(fd, answer);
-    }
-    close(fd);
-    return answer;
-  };
-  const std::string line = R"({"message":"m1","outcome":"given_up"})";
-  CHECK(answer_to(net::WriteRequest("GET", "/registry/instances", {{"Host", "lab"}}, "")).empty());
-  CHECK(answer_to(net::WriteRequest("GET", "/registry/instances?follow=1", {{"Host", "lab"}}, "")).empty());
-  CHECK(answer_to(net::WriteRequest("POST", "/v1/notices", {{"Host", "lab"}}, line + "\n"))
-            .rfind("HTTP/1.1 204", 0) == 0);
-  CHECK(platform.notifications == 1);
-}
-
-TEST_CASE("lab: a message counts as delivered once its client has heard and its partner has served") {
-  Books b;
-  const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
-  const int attempt = b.ledger.Arrived(0.1, 0, id, 1);
-  b.ledger.Over(0.2, id, attempt, Outcome::kServed);
-  CHECK(b.tally.result().classes[2].delivered == 0);
-  b.ledger.TakenOn(0.3, id);
-  CHECK(b.tally.result().classes[2].delivered == 1);
-  b.ledger.Noticed(0.4, id, Ledger::Notice::kGivenUp, 0);  // does no harm
-  CHECK(b.auditor.breaches().empty());
-}
-
-TEST_CASE("lab: what comes under a withdrawn id is void; after any other end it is a breach") {
-  Books b;
-  const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
-  const int first = b.ledger.Arrived(0.1, 0, id, 1);
-  b.ledger.Ran(0.1, id);
-  b.ledger.Withdrawn(0.4, id);
-  b.ledger.Over(0.45, id, first, Outcome::kServed);  // counts no more
-  CHECK(b.ledger.Arrived(0.5, 0, id, 1) == Ledger::kVoid);
-  CHECK(b.auditor.breaches().empty());
-  const std::uint64_t again = b.ledger.HandIn(0.5, 1, b.client);
-  CHECK(b.ledger.Arrived(0.6, 1, again, 1) == 0);
-  b.ledger.Ran(0.6, again);  // no payment twice: the first counts no more
-  CHECK(b.auditor.breaches().empty());
-  CHECK(b.ledger.Arrived(2, 0, id, 1) == Ledger::kVoid);
-  CHECK(b.auditor.breaches().empty());
-  b.ledger.Over(2, again, 0, Outcome::kError);
-  b.ledger.Failed(2, again);
-  CHECK(b.ledger.Arrived(2.2, 1, again, 1) == Ledger::kVoid);  // it was on its way
-  CHECK(b.auditor.breaches().empty());
-  CHECK(b.ledger.Arrived(2.3, 1, again, 1) == Ledger::kVoid);
-  CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 1);
-  b.ledger.Deaf(1, 3);  // frozen: it has heard nothing
-  CHECK(b.ledger.Arrived(3.2, 1, again, 1) == Ledger::kVoid);
-  CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 1);
-  CHECK(b.ledger.Arrived(3.3, 0, 99, 1) == Ledger::kVoid);  // nobody has handed it in
-  CHECK(b.auditor.Count(BreachKind::kAfterEnd) == 2);
-}
-
-TEST_CASE("lab: a delivered message may come again after a kill, but no payment") {
-  for (const int message_class : {0, 2}) {  // idempotent, at most once
-    Books b;
-    const std::uint64_t id = b.ledger.HandIn(0, 0, b.ledger.Ask({0, message_class, 0}));
-    b.ledger.TakenOn(0, id);
-    b.ledger.Over(0.2, id, b.ledger.Arrived(0.1, 0, id, 1), Outcome::kServed);
-    CHECK(b.ledger.Arrived(2, 0, id, 1) == Ledger::kVoid);
-    CHECK(b.auditor.Count(BreachKind::kAfterEnd) == (message_class == 2 ? 1 : 0));
-  }
-}
-
-TEST_CASE("lab: a message handed back by notice comes again") {
-  Books b;
-  double advised = 0;
-  b.ledger.on_handed_back = [&](std::size_t, Seconds advice) { advised = advice; };
-  const std::uint64_t id = b.ledger.HandIn(0, 0, b.client);
-  b.ledger.TakenOn(0.1, id);
-  b.ledger.Noticed(1, id, Ledger::Notice::kHandedBack, 0.5);
-  CHECK(advised == 0.5);
-  CHECK(b.tally.result().refused == 1);
-  CHECK(b.ledger.open() == 0);
-}
-
-// ---- endpoints -----------------------------------------------------------------------------------------
-
-// Endpoints with nobody who calls them but the test.
-struct Stage {
-  explicit Stage(const json& file)
-      : scenario(ReadScenario(file)),
-        world(scenario, 1),
-        auditor(Auditor::Rules{}, scenario.settings.classes),
-        tally(world, 1),
-        ledger(world, auditor, tally),
-        loop(clock),
-        descriptors_before(SampleOf(getpid()).value().descriptors),
-        endpoints(loop, world, auditor, ledger, tally, 1) {}
-  // Plays on until it holds, or for 5 s. Returns whether it does.
-  bool Until(const std::function<bool()>& holds) {
-    for (const double ends = loop.Now() + 5; loop.Now() < ends && !holds();) loop.RunOnce(0.01);
-    return holds();
-  }
-  const Scenario scenario;
-  World world;
-  Auditor auditor;
-  Tally tally;
-  Ledger ledger;
-  const net::SystemClock clock;
-  net::EventLoop loop;
-  const long descriptors_before;
-  Endpoints endpoints;
-};
-
-TEST_CASE("lab: 20,000 endpoints cost one descriptor") {
-  Stage s({{"relays", 1}, {"partners", {{"count", 20000}, {"endpoints", {1, 1}}}}});
-  CHECK(SampleOf(getpid()).value().descriptors == s.descriptors_before + 1);
-  CHECK(s.endpoints.AddressOf(20000, 0).rfind("127.32.78.32:", 0) == 0);
-  const int first = raw::Connect(*net::ParseAddress(s.endpoints.AddressOf(1, 0)));
-  const int last = raw::Connect(*net::ParseAddress(s.endpoints.AddressOf(20000, 0)));
-  s.loop.RunOnce(1);
-  CHECK(s.endpoints.connections() == 2);
-  close(first);
-  close(last);
-}
-
-TEST_CASE("lab: an endpoint that refuses connections refuses them for as long as it should") {
-  Stage s({{"relays", 1},
-           {"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
-           {"troubles", {{{"kind", "refuse"}, {"partner", 0}, {"from_s", 0.05}, {"lasts_s", 0.1}}}}});
-  const std::string address = s.endpoints.AddressOf(1, 0);
-  CHECK(SomebodyListens(address));
-  s.endpoints.Begin(s.loop.Now());
-  CHECK(s.Until([&] { return !SomebodyListens(address); }));
-  CHECK(s.Until([&] { return SomebodyListens(address); }));
-}
-
-TEST_CASE("lab: an endpoint takes as many connections as it should, and one more once one has ended") {
-  Stage s({{"relays", 1}, {"partners", {{"count", 1}, {"endpoints", {1, 1}}, {"connections", {2, 2}}}}});
-  const std::string address = s.endpoints.AddressOf(1, 0);
-  const int first = raw::Connect(*net::ParseAddress(address));
-  const int second = raw::Connect(*net::ParseAddress(address));
-  CHECK(s.Until([&] { return s.endpoints.connections() == 2; }));
-  // The first request on a further connection is turned away, and the connection ends (protocol, '503').
-  const auto answer_to = [&](int fd) {
-    const std::string request = net::WriteRequest("GET", "/health/live", {{"Host", "lab"}}, "");
-    CHECK(send(fd, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
-    std::string answer(4096, '\0');
-    ssize_t size = -1;
-    CHECK(s.Until(
-        [&] { return size > 0 || (size = recv(fd, answer.data(), answer.size(), MSG_DONTWAIT)) > 0; }));
-    return answer.substr(0, static_cast<std::size_t>(std::max<ssize_t>(0, size)));
-  };
-  const int third = raw::Connect(*net::ParseAddress(address));
-  const std::string turned_away = answer_to(third);
-  CHECK(turned_away.rfind("HTTP/1.1 503", 0) == 0);
-  CHECK(turned_away.find("Connection: close") != std::string::npos);
-  close(first);
-  CHECK(s.Until([&] { return s.endpoints.connections() == 1; }));
-  const int fourth = raw::Connect(*net::ParseAddress(address));
-  CHECK(answer_to(fourth).rfind("HTTP/1.1 200", 0) == 0);
-  for (const int fd : {second, third, fourth}) close(fd);
-}
-
-TEST_CASE("lab: a machine that has vanished leaves a new connection without any answer") {
-  Stage s({{"relays", 1},
-           {"partners", {{"count", 1}, {"endpoints", {1, 1}}}},
-           {"troubles", {{{"kind", "vanish"}, {"partner", 0}, {"from_s", 0}, {"lasts_s", 0.3}}}}});
-  const sockaddr_in address = *net::ParseAddress(s.endpoints.AddressOf(1, 0));
-  const net::Seconds began = s.loop.Now();
-  s.endpoints.Begin(began);
-  s.loop.RunOnce(0.01);
-  s.loop.RunOnce(0.01);
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  CHECK(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0);
-  CHECK(errno == EINPROGRESS);
-  pollfd waits{fd, POLLOUT, 0};
-  CHECK(poll(&waits, 1, 100) == 0);  // neither up nor refused
-  close(fd);
-  CHECK(s.Until([&] { return s.loop.Now() > began + 0.4; }));  // to connect before would block
-  CHECK(SomebodyListens(s.endpoints.AddressOf(1, 0)));
-}
-
-TEST_CASE("lab: a process that has ended has no figures, though it waits to be reaped") {
-  const pid_t child = fork();
-  REQUIRE(child >= 0);
-  if (child == 0) _exit(0);
-  siginfo_t info;
-  REQUIRE(waitid(P_PID, static_cast<id_t>(child), &info, WEXITED | WNOWAIT) == 0);
-  CHECK_FALSE(SampleOf(child));
-  CHECK(waitpid(child, nullptr, 0) == child);
-}
-
 // ---- whole runs ----------------------------------------------------------------------------------------
 
 TEST_CASE("lab: sockets and simulated time say the same of a small day") {
--- /dev/null
+++ b/tests/support/somebody_listens.h
@@ -0,0 +1,23 @@
+// Whether a connection to an address comes up.
+#pragma once
+
+#include <unistd.h>
+
+#include <exception>
+#include <string>
+
+#include "lab/capacity/raw.h"
+#include "net/address.h"
+
+namespace opalroute::lab {
+
+inline bool SomebodyListens(const std::string& address) {
+  try {
+    close(raw::Connect(*net::ParseAddress(address)));
+    return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+}  // namespace opalroute::lab
