Preloaded library: the bound of followed descriptors stands once

Change: lab/faults/descriptors.h has both. Measured: the tests of records, plans and closed connections pass; no behaviour changes.

--- a/lab/faults/preload.cpp
+++ b/lab/faults/preload.cpp
@@ -23,6 +23,7 @@
 #include <cstring>
 #include <string>
 
+#include "lab/faults/descriptors.h"
 #include "lab/faults/plan.h"
 #include "lab/faults/requests_read.h"
 
@@ -31,6 +32,8 @@
 using opalroute::lab::faults::Call;
 using opalroute::lab::faults::ClockStep;
 using opalroute::lab::faults::Episode;
+using opalroute::lab::faults::IsFollowed;
+using opalroute::lab::faults::kDescriptors;
 using opalroute::lab::faults::kPlanVariable;
 using opalroute::lab::faults::Plan;
 using opalroute::lab::faults::RequestsRead;
@@ -70,21 +73,16 @@
   }
   // Files of the state folder that are open, by descriptor.
   void Opened(int fd, bool of_state) {
-    if (fd >= 0 && fd < kDescriptors) of_state_[static_cast<std::size_t>(fd)] = of_state;
+    if (IsFollowed(fd)) of_state_[static_cast<std::size_t>(fd)] = of_state;
   }
   // Connections that have been accepted, by descriptor.
   void Accepted(int fd, bool accepted) {
-    if (fd >= 0 && fd < kDescriptors) accepted_[static_cast<std::size_t>(fd)] = accepted;
-  }
-  bool IsAccepted(int fd) const {
-    return fd >= 0 && fd < kDescriptors && accepted_[static_cast<std::size_t>(fd)];
-  }
-  bool OfState(int fd) const {
-    return fd >= 0 && fd < kDescriptors && of_state_[static_cast<std::size_t>(fd)];
+    if (IsFollowed(fd)) accepted_[static_cast<std::size_t>(fd)] = accepted;
   }
+  bool IsAccepted(int fd) const { return IsFollowed(fd) && accepted_[static_cast<std::size_t>(fd)]; }
+  bool OfState(int fd) const { return IsFollowed(fd) && of_state_[static_cast<std::size_t>(fd)]; }
 
  private:
-  static constexpr int kDescriptors = 4096;
   // A linear congruential generator (Knuth's constants) is even enough for this, and needs no lock.
   double Unit() {
     std::uint64_t state = state_.load();
--- a/lab/faults/requests_read.cpp
+++ b/lab/faults/requests_read.cpp
@@ -24,17 +24,17 @@
 }
 
 void RequestsRead::Accepted(int fd) {
-  if (file_ < 0 || fd < 0 || fd >= kDescriptors) return;
+  if (file_ < 0 || !IsFollowed(fd)) return;
   parsers_[static_cast<std::size_t>(fd)] =
       std::make_unique<net::HttpParser>(net::HttpParser::Kind::kRequest, kBounds);
 }
 
 void RequestsRead::Closed(int fd) {
-  if (fd >= 0 && fd < kDescriptors) parsers_[static_cast<std::size_t>(fd)].reset();
+  if (IsFollowed(fd)) parsers_[static_cast<std::size_t>(fd)].reset();
 }
 
 void RequestsRead::Read(int fd, const iovec* parts, int count, std::size_t bytes) {
-  if (fd < 0 || fd >= kDescriptors) return;
+  if (!IsFollowed(fd)) return;
   net::HttpParser* parser = parsers_[static_cast<std::size_t>(fd)].get();
   if (parser == nullptr) return;
   for (int i = 0; i < count && bytes > 0; ++i) {
--- a/lab/faults/requests_read.h
+++ b/lab/faults/requests_read.h
@@ -9,14 +9,13 @@
 #include <memory>
 #include <string>
 
+#include "lab/faults/descriptors.h"
 #include "net/http.h"
 
 namespace opalroute::lab::faults {
 
 class RequestsRead {
  public:
-  static constexpr int kDescriptors = 4096;
-
   // `path`: the file that ids are appended to; empty: nothing is recorded.
   explicit RequestsRead(const std::string& path);
 
