--- a/src/dns/answer.cpp
+++ b/src/dns/answer.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr Seconds kEndless = 1e18;  // longer than any lifetime
+
 const Record* AliasOf(const Message& response, const Name& name) {
   for (const Record& r : response.answers)
     if (r.type == Type::kCname && r.name == name && std::holds_alternative<Name>(r.data)) return &r;
@@ -18,9 +20,8 @@
   return 0;  // not to be kept (RFC 2308, 5); the cache has a least lifetime of its own
 }
 
-}  // namespace
-
-std::variant<Answer, Unfit> ReadAnswer(const Message& response, std::uint16_t id, const Question& question) {
+// Why the response is no answer to the question, if it is none.
+std::optional<Unfit> WhyUnfit(const Message& response, std::uint16_t id, const Question& question) {
   const bool ours = response.response && response.id == id;
   // Servers may leave the question out when they can't read it.
   if (ours && response.rcode == Rcode::kFormErr && response.questions.empty()) return Unfit::kNoEdns;
@@ -28,25 +29,39 @@
   if (response.rcode == Rcode::kFormErr || response.rcode == Rcode::kNotImp) return Unfit::kNoEdns;
   if (response.rcode != Rcode::kNoError && response.rcode != Rcode::kNxDomain) return Unfit::kFailed;
   if (response.truncated) return Unfit::kTruncated;
+  return std::nullopt;
+}
+
+// Adds the records of `name` to the answer. Returns the least of their lifetimes and `least`.
+Seconds AddRecords(const Message& response, Type type, const Name& name, Seconds least, Answer& answer) {
+  for (const Record& r : response.answers) {
+    if (r.type != type || r.name != name) continue;
+    if (const auto* srv = std::get_if<Srv>(&r.data)) {
+      answer.services.push_back(*srv);
+    } else if (const auto* address = std::get_if<in_addr>(&r.data)) {
+      answer.addresses.push_back(*address);
+    } else {
+      continue;
+    }
+    least = std::min<Seconds>(least, r.lifetime);
+  }
+  return least;
+}
+
+}  // namespace
+
+std::variant<Answer, Unfit> ReadAnswer(const Message& response, std::uint16_t id, const Question& question) {
+  if (const auto unfit = WhyUnfit(response, id, question)) return *unfit;
   Answer answer;
   Name name = question.name;
-  double least = 1e18;
+  Seconds least = kEndless;
   int aliases = 0;
   while (const Record* alias = AliasOf(response, name)) {
     if (++aliases > kMostAliases) return Unfit::kFailed;  // a loop, or as good as one
-    least = std::min<double>(least, alias->lifetime);
+    least = std::min<Seconds>(least, alias->lifetime);
     name = std::get<Name>(alias->data);
   }
-  for (const Record& r : response.answers) {
-    if (r.type != question.type || r.name != name) continue;
-    if (const auto* srv = std::get_if<Srv>(&r.data))
-      answer.services.push_back(*srv);
-    else if (const auto* address = std::get_if<in_addr>(&r.data))
-      answer.addresses.push_back(*address);
-    else
-      continue;
-    least = std::min<double>(least, r.lifetime);
-  }
+  least = AddRecords(response, question.type, name, least, answer);
   if (!answer.services.empty() || !answer.addresses.empty()) {
     answer.kind = Answer::Kind::kRecords;
     answer.lifetime = least;
--- a/src/dns/answer.h
+++ b/src/dns/answer.h
@@ -19,8 +19,8 @@
   std::vector<Srv> services;       // to a question for SRV
   std::vector<in_addr> addresses;  // to one for A
   Name alias;
-  Seconds lifetime =
-      0;  // the least of all records that it rests on; of a negative answer, the SOA's (RFC 2308, 5)
+  // The least of all records that it rests on; of a negative answer, the SOA's (RFC 2308, 5).
+  Seconds lifetime = 0;
 };
 
 // Why a response is no answer.
--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -74,7 +74,8 @@
   // name that it stands in, so that every jump goes further back.
   Name ReadName() {
     std::string wire;
-    std::size_t at = at_, begins = at_;
+    std::size_t at = at_;
+    std::size_t begins = at_;
     bool jumped = false;
     for (;;) {
       if (at >= bytes_.size()) Fail(at, "a name goes on past the end");
@@ -126,7 +127,7 @@
   }
 
   void ReadData(Record& record, std::size_t length) {
-    const char* const kShort = "a record's data is too short";
+    const char* const too_short = "a record's data is too short";
     switch (record.type) {
       case Type::kA: {
         if (length != 4) Fail(at_, "an IPv4 address has 4 bytes");
@@ -150,9 +151,9 @@
         return;
       case Type::kSrv: {
         Srv srv;
-        srv.priority = Read16(kShort);
-        srv.weight = Read16(kShort);
-        srv.port = Read16(kShort);
+        srv.priority = Read16(too_short);
+        srv.weight = Read16(too_short);
+        srv.port = Read16(too_short);
         srv.target = ReadName();
         record.data = std::move(srv);
         return;
@@ -162,7 +163,7 @@
         soa.primary = ReadName();
         soa.mailbox = ReadName();
         for (std::uint32_t* field : {&soa.serial, &soa.refresh, &soa.retry, &soa.expire, &soa.minimum})
-          *field = Read32(kShort);
+          *field = Read32(too_short);
         record.data = std::move(soa);
         return;
       }
--- a/src/dns/resolver.cpp
+++ b/src/dns/resolver.cpp
@@ -150,7 +150,7 @@
   try {
     flight.socket = std::make_unique<net::DatagramSocket>(
         loop_, AnyPortTowards(to), limits_.dns_datagram_bytes,
-        [this, question, attempt = flight.attempt, to](const sockaddr_in& from, std::string bytes) {
+        [this, question, attempt = flight.attempt, to](const sockaddr_in& from, const std::string& bytes) {
           if (from.sin_addr.s_addr != to.sin_addr.s_addr || from.sin_port != to.sin_port) {
             ++counters_.passed;
             return;
--- a/src/dns/tcp_channel.cpp
+++ b/src/dns/tcp_channel.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kLength = 2, kLongest = 65535;
+constexpr std::size_t kLength = 2;  // bytes of the length in front of a message (RFC 1035, 4.2.2)
 
 std::uint16_t Number(const std::string& bytes, std::size_t at) {
   return static_cast<std::uint16_t>(static_cast<std::uint8_t>(bytes[at]) << 8 |
@@ -24,9 +24,10 @@
 void TcpChannel::Ask(std::uint16_t id, const std::string& query, Done done) {
   loop_.Cancel(rest_timer_);
   waiting_[id] = std::move(done);
-  if (connection_ == nullptr)
+  if (connection_ == nullptr) {
     connection_ =
         net::Connection::Connect(loop_, server_, *this, limits_.dns_tcp_bytes, limits_.dns_tcp_bytes);
+  }
   const std::string length = {static_cast<char>(query.size() >> 8), static_cast<char>(query.size() & 0xff)};
   if (connection_ != nullptr && connection_->Write(length + query)) return;
   // Told later, as every other end is.
