--- a/tests/lab/unwatched_connection_test.cpp
+++ b/tests/lab/unwatched_connection_test.cpp
@@ -6,8 +6,8 @@
 #include <optional>
 
 #include "net/address.h"
-#include "net/http_server.h"
 #include "tests/support/hand_clock.h"
+#include "tests/support/server_bounds.h"
 
 namespace opalroute::lab {
 namespace {
@@ -21,17 +21,6 @@
   void OnAnswerLost(std::uint64_t) override {}
 };
 
-net::ServerBounds Bounds() {
-  net::ServerBounds bounds;
-  bounds.http = {4096, 16, 4096};
-  bounds.answer_bytes = 4096;
-  bounds.connections = bounds.reject_connections = 4;
-  bounds.requests_a_turn = 1;
-  bounds.first_time = bounds.request_time = kFirstRequestWithin;
-  bounds.idle_time = bounds.linger_time = kFirstRequestWithin;
-  return bounds;
-}
-
 class Request : public net::HttpClient::Call {
  public:
   std::string OnReady() override { return {}; }
@@ -45,7 +34,8 @@
   net::HandClock clock;
   net::EventLoop loop{clock};
   Server handler;
-  net::HttpServer server{loop, *net::ParseAddress("127.0.0.1:0"), Bounds(), handler};
+  net::HttpServer server{loop, *net::ParseAddress("127.0.0.1:0"), net::BoundsOf(4, kFirstRequestWithin),
+                         handler};
   std::unique_ptr<UnwatchedConnection> connection = UnwatchedConnection::Connect(server.address());
   Request request;
 
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -13,6 +13,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "tests/support/hand_clock.h"
+#include "tests/support/server_bounds.h"
 
 namespace opalroute::net {
 namespace {
@@ -60,12 +61,7 @@
 TEST_CASE("pipelined requests are all answered, however slowly the client reads") {
   const SystemClock clock;
   EventLoop loop(clock);
-  ServerBounds bounds;
-  bounds.http = {4096, 16, 4096};
-  bounds.answer_bytes = 4096;
-  bounds.connections = bounds.reject_connections = 4;
-  bounds.requests_a_turn = 4;
-  bounds.first_time = bounds.request_time = bounds.idle_time = bounds.linger_time = 60;
+  const ServerBounds bounds = BoundsOf(4, 60);
   Wide handler;
   HttpServer server(loop, Loopback(), bounds, handler);
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -180,12 +176,7 @@
 TEST_CASE("peers at one address share no connection, and are forgotten with their last one") {
   const SystemClock clock;
   EventLoop loop(clock);
-  ServerBounds serve;
-  serve.http = {4096, 16, 4096};
-  serve.answer_bytes = 4096;
-  serve.connections = serve.reject_connections = 4;
-  serve.requests_a_turn = 4;
-  serve.first_time = serve.request_time = serve.idle_time = serve.linger_time = 60;
+  const ServerBounds serve = BoundsOf(4, 60);
   Wide handler;
   HttpServer server(loop, Loopback(), serve, handler);
   ClientBounds bounds;
--- a/tests/notification/failure_notifier_test.cpp
+++ b/tests/notification/failure_notifier_test.cpp
@@ -15,6 +15,7 @@
 #include "net/http_server.h"
 #include "relay/client_bounds.h"
 #include "tests/support/hand_clock.h"
+#include "tests/support/server_bounds.h"
 
 namespace opalroute {
 namespace {
@@ -23,6 +24,7 @@
 constexpr net::Seconds kStep = 0.01;
 constexpr net::Seconds kOutage = 60;
 constexpr int kBacklog = 16;
+constexpr std::size_t kBodyBytes = 65536;
 
 // A socket that is bound and does not listen: connections there are refused (ip(7)).
 int BindWithoutListening() {
@@ -32,16 +34,6 @@
   return fd;
 }
 
-net::ServerBounds PlatformBounds() {
-  net::ServerBounds bounds;
-  bounds.http = {4096, 16, 65536};
-  bounds.answer_bytes = 4096;
-  bounds.connections = bounds.reject_connections = 16;
-  bounds.requests_a_turn = 4;
-  bounds.first_time = bounds.request_time = bounds.idle_time = bounds.linger_time = 3600;
-  return bounds;
-}
-
 class Platform : public net::HttpServer::Handler {
  public:
   net::HttpAnswer OnRequest(net::HttpMessage& request) override {
@@ -76,7 +68,9 @@
   }
   void Listen() {
     REQUIRE(listen(fd, kBacklog) == 0);
-    server = std::make_unique<net::HttpServer>(loop, fd, PlatformBounds(), platform);
+    net::ServerBounds bounds = net::BoundsOf(kBacklog, 2 * kOutage);
+    bounds.http.body_bytes = bounds.http.head_bytes = kBodyBytes;
+    server = std::make_unique<net::HttpServer>(loop, fd, bounds, platform);
   }
   void RunFor(net::Seconds duration) {
     constexpr int kTurnsPerStep = 4;
