--- a/lab/experiments/experiments.h
+++ b/lab/experiments/experiments.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace opalroute::lab {
@@ -18,8 +20,11 @@
 // measures the cost of many SRV names and of a large answer.
 int RunSrvExperiment(int changes);
 
-// Runs `count` random fault scripts (lab/fault_script.h) with consecutive seeds, `jobs` in parallel.
-int RunScripts(std::uint64_t first_seed, int count, int jobs);
+// Draws the scenario of a seed, as JSON for ReadScenario.
+using ScriptGenerator = std::function<nlohmann::json(std::uint64_t seed)>;
+
+// Runs `count` drawn scenarios with consecutive seeds in simulated time, `jobs` in parallel.
+int RunScripts(const ScriptGenerator& draw, std::uint64_t first_seed, int count, int jobs);
 
 struct SoakBatch {
   std::uint64_t first_seed = 1;
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -79,7 +79,7 @@
   void End(Outcome outcome) {
     const RouteModel& model = MachineModel();
     if (phase_ != Phase::kIdle && model.InOutage(owner_.now()))
-      owner_.auditor_.OnOutageObserved(relay_, MachineNumber());
+      owner_.auditor_.OnOutageObserved(owner_.now(), relay_, MachineNumber());
     for (const Request& request : std::exchange(unanswered_, {}))
       if (request.attempt != MessageTracker::kVoid)
         owner_.tracker_.OnAttemptEnded(owner_.now(), request.id, request.attempt, outcome);
@@ -180,7 +180,7 @@
     const Seconds now = owner_.now();
     if (IsCut()) return StaySilent();
     if (verdict.status != RouteModel::CallStatus::kServed && MachineModel().InOutage(now))
-      owner_.auditor_.OnOutageObserved(relay_, MachineNumber());
+      owner_.auditor_.OnOutageObserved(now, relay_, MachineNumber());
     if (verdict.status == RouteModel::CallStatus::kReset) return End(Outcome::kReset);
     if (verdict.status == RouteModel::CallStatus::kInvalidResponse) {
       connection_->Write("HTTP/1.1 2xx fine\r\nContent-Length: many\r\n\r\n");
