--- a/tests/zone_failover/zone_processes_test.cpp
+++ b/tests/zone_failover/zone_processes_test.cpp
@@ -1,49 +1,20 @@
 // Tests of 24 relay processes under faults: lost datagrams, a zone that fails, processes that are killed or
 // frozen. They check only counts and the order of events, so they do not depend on the machine's speed.
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <filesystem>
 #include <map>
 #include <numeric>
 
 #include "lab/sockets/datagram_forwarder.h"
-#include "lab/sockets/socket_run.h"
+#include "tests/support/process_run.h"
 
 namespace opalroute::lab {
 namespace {
 
-namespace fs = std::filesystem;
-
 // A zone counts as evacuated while its share of the calls is below this fraction of its share before.
 constexpr double kEvacuatedFraction = 0.6;
 
-class TemporaryFolder {
- public:
-  TemporaryFolder()
-      : path_((fs::temp_directory_path() / ("opalroute-zone-test-" + std::to_string(getpid()))).string()) {}
-  ~TemporaryFolder() { fs::remove_all(path_); }
-  const std::string& path() const { return path_; }
-
- private:
-  const std::string path_;
-};
-
-// Runs one of lab/scenarios with real relay processes. Fails the test on any breach or crash.
-RunResult RunScenario(const std::string& name) {
-  const TemporaryFolder folder;
-  SocketOptions options;
-  options.program = RELAY_PROGRAM;
-  options.folder = folder.path();
-  options.max_lateness = options.max_lateness_p99 = 1e9;
-  const Scenario scenario = LoadScenario(std::string(SCENARIOS) + "/" + name + ".json");
-  const RunResult result = RunOnSockets(scenario, 1, options);
-  for (const Breach& b : result.breaches) FAIL_CHECK(NameOf(b.kind), " ", b.at, " ", b.trace);
-  for (const Crash& c : result.crashes) FAIL_CHECK(c.relay, " ", c.cause, "\n", c.last_log);
-  return result;
-}
-
 // Checks that all 24 relays have evacuated zone 1 and no other, and that it is in service again at all of
 // them.
 void CheckOnlyZone1Evacuated(const RunResult& result) {
@@ -80,14 +51,14 @@
 
 TEST_CASE(
     "processes: 24 relays evacuate a failing zone and return to it, though six are killed and two frozen") {
-  const RunResult result = RunScenario("zone_processes");
+  const RunResult result = RunWithProcesses("zone_processes", 1);
   CheckOnlyZone1Evacuated(result);
   CHECK(ZoneShareWithin(result, 8, 11) < kEvacuatedFraction * ZoneShareWithin(result, 1, 4));
 }
 
 TEST_CASE(
     "processes: 24 relays follow an override issued at one, though that one is killed and four are cut off") {
-  const RunResult result = RunScenario("zone_orders");
+  const RunResult result = RunWithProcesses("zone_orders", 1);
   CheckOnlyZone1Evacuated(result);
   const double before = ZoneShareWithin(result, 1, 4);
   CHECK(ZoneShareWithin(result, 7, 9) < kEvacuatedFraction * before);
