Auditor: a relay counts as informed of the outage that is over, not of one before it

Cause: the auditor kept a relay as informed of a route for the whole run. Change: a relay counts if it saw the route fail since the beginning of the latest outage; outages that overlap are one.

--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -96,9 +96,11 @@
   void OnDrainReceived(Seconds now, int relay, EndpointId endpoint);
   void OnRetryAfterReceived(Seconds now, int relay, std::uint64_t route, Seconds retry_after);
   // A call or health check failed, or was rejected, during an outage of the route. The relay counts as
-  // informed from then on, also in its next processes: its state folder can hold what it has observed.
+  // informed of this outage from then on, also in its next processes: its state folder can hold what it has
+  // observed.
   void OnOutageObserved(Seconds now, int relay, std::uint64_t route);
-  void OnCallDuringRecovery(Seconds now, int relay, std::uint64_t route, bool caused_collapse);
+  void OnCallDuringRecovery(Seconds now, int relay, std::uint64_t route, Seconds outage_start,
+                            bool caused_collapse);
   // The process forgets its Retry-Afters. Its messages aren't overdue before `extended_until`.
   void OnRelayStopped(int relay, Seconds extended_until);
   // Its next process is ready: its messages aren't overdue before `extended_until`, in place of an earlier
@@ -166,7 +168,8 @@
   std::map<std::pair<int, EndpointId>, Seconds> drains_received_at_;  // by relay
   // By relay and route: when it was received, and when it ends.
   std::map<std::pair<int, std::uint64_t>, std::pair<Seconds, Seconds>> retry_afters_;
-  std::map<std::uint64_t, std::map<int, Seconds>> informed_relays_;   // by route and relay: since when
+  std::map<std::uint64_t, std::map<int, Seconds>>
+      informed_relays_;  // by route and relay: when it last observed one
   std::map<std::uint64_t, std::deque<RecoveryCall>> recovery_calls_;  // by route, within overload_window
   std::map<int, Seconds> extended_until_;                             // by relay
   std::map<std::pair<int, std::uint64_t>, KeyQueue> key_queues_;      // by relay and ordering key
--- a/lab/route_model.cpp
+++ b/lab/route_model.cpp
@@ -43,6 +43,23 @@
   return outage_end;
 }
 
+std::optional<Seconds> RouteModel::LastOutageStart(Seconds now) const {
+  const RouteFault* latest = nullptr;
+  for (const RouteFault& fault : faults_)
+    if (IsOutage(fault) && fault.to <= now && (latest == nullptr || fault.to > latest->to)) latest = &fault;
+  if (latest == nullptr) return std::nullopt;
+  Seconds start = latest->from;
+  for (bool extended = true; extended;) {  // by outages that overlap it
+    extended = false;
+    for (const RouteFault& fault : faults_) {
+      if (!IsOutage(fault) || fault.from >= start || fault.to < start) continue;
+      start = fault.from;
+      extended = true;
+    }
+  }
+  return start;
+}
+
 bool RouteModel::IsRecovering(Seconds now) const {
   const auto outage_end = LastOutageEnd(now);
   return outage_end && now < *outage_end + s_.recovery_time && !InOutage(now);
--- a/lab/route_model.h
+++ b/lab/route_model.h
@@ -89,6 +89,8 @@
   double CapacityAt(Seconds now) const;
   // Whether it is in no outage now, and the last one ended less than recovery_time ago.
   bool IsRecovering(Seconds now) const;
+  // When the latest outage that is over began; empty: there was none.
+  std::optional<Seconds> LastOutageStart(Seconds now) const;
   // Collapsed, unreachable, rejecting or refusing everything, not responding, or failing most calls: a call
   // that fails now tells its relay of the outage.
   bool InOutage(Seconds now) const;
--- a/lab/serve_call.h
+++ b/lab/serve_call.h
@@ -19,7 +19,8 @@
     RouteModel& route = world.route(number);
     const bool recovering = route.IsRecovering(now) && !route.collapsed();
     const RouteModel::CallResult result = route.HandleCall(now);
-    if (recovering) auditor.OnCallDuringRecovery(now, relay, number, result.caused_collapse);
+    if (recovering)
+      auditor.OnCallDuringRecovery(now, relay, number, *route.LastOutageStart(now), result.caused_collapse);
     if (result.caused_collapse) ++tally.result().collapses;
     if (result.status == RouteModel::CallStatus::kRejected) tally.CountRejectedCall(now);
     return result;
