Large fleets: what each relay may send to a recovering route adds up to what it bears

Callers saw endpoints that came back go down again with no relay restarted. Change: in fleets of more than 8 relays the budget follows from the rule's own bound less five standard deviations, one failed call leads to a slow start, half of the relays send their first trial late, retries after a rejection without gossip are spread over a window; a waiting request is looked at again when a slow start ends. Small fleets keep their rates. Tests: two new ones in route_health_recovery_test. circuit_breaker_test asserted that requests flow at once after a failed call of one of 400 relays, which is fault 2; it now asserts each circuit's state and that the requests are sent when the slow start is over.

--- a/src/decision/call_pacer.cpp
+++ b/src/decision/call_pacer.cpp
@@ -14,7 +14,9 @@
   const Seconds wait = route.rate_limiter.TimeUntilCall(in_recovery, context_);
   if (!in_recovery) return wait;
   if (endpoint.NeedsTrial()) return TimeUntilTrial(endpoint, wait);
-  return std::max(wait, route.health.TimeUntilSlowStartCall(SlowStartRate(endpoint), context_.now));
+  const Seconds slow_start_ends = route.health.slow_start_at() + context_.settings.slow_start_duration;
+  const Seconds for_token = route.health.TimeUntilSlowStartCall(SlowStartRate(endpoint), context_.now);
+  return std::max(wait, std::min(for_token, slow_start_ends - context_.now));
 }
 
 // A trial that was not sent in time lapses and is rescheduled, so that overdue trials of many relays do not
@@ -32,14 +34,16 @@
   const UpstreamRoute& route = *endpoint.route;
   const double capacity = budget_.EstimateCapacity(route.rate_limiter.limit(), endpoint.kind);
   const Seconds interval = budget_.TrialInterval(capacity, zones_.RelaysSendingTrials(endpoint.zone));
-  return route.health.has_faults() ? interval : std::min(interval, context_.settings.overload_window);
+  const bool has_seen_fault =
+      route.health.has_faults() || (context_.IsLargeFleet() && endpoint.circuit.has_failures());
+  return has_seen_fault ? interval : std::min(interval, context_.settings.overload_window);
 }
 
 double CallPacer::SlowStartRate(const Endpoint& endpoint) const {
   const UpstreamRoute& route = *endpoint.route;
   const double limit = route.rate_limiter.limit();
   const double capacity = budget_.EstimateCapacity(limit, endpoint.kind);
-  return budget_.SlowStartRate(limit, capacity, context_.now - route.health.slow_start_at());
+  return budget_.SlowStartRate(capacity, context_.now - route.health.slow_start_at());
 }
 
 void CallPacer::Charge(Endpoint& endpoint) {
--- a/src/decision/circuit_breaker.cpp
+++ b/src/decision/circuit_breaker.cpp
@@ -1,5 +1,7 @@
 #include "decision/circuit_breaker.h"
 
+#include <algorithm>
+
 namespace opalroute::decision {
 namespace {
 
@@ -12,6 +14,11 @@
   state_ = State::kOpen;
 }
 
+void CircuitBreaker::RecoverOpen(Seconds now) {
+  consecutive_failures_ = std::max(consecutive_failures_, 1);
+  Open(now);
+}
+
 void CircuitBreaker::HalfOpenIfOpen() {
   if (state_ == State::kOpen) state_ = State::kHalfOpen;
 }
--- a/src/decision/circuit_breaker.h
+++ b/src/decision/circuit_breaker.h
@@ -23,6 +23,8 @@
   bool last_failure_never_ran() const { return last_failure_never_ran_; }
 
   void Open(Seconds now);
+  // Opens the circuit, which an earlier process of this relay had open.
+  void RecoverOpen(Seconds now);
   void HalfOpenIfOpen();
   // Moves an open circuit to half-open or closed.
   void RecoverTo(State state) { state_ = state; }
--- a/src/decision/context.h
+++ b/src/decision/context.h
@@ -12,10 +12,15 @@
 
 namespace opalroute::decision {
 
+// A fleet of more relays than this counts as large: a relay has little traffic to each route, so that the
+// fleet depends on gossip, and what each of its relays may do on its own adds up.
+constexpr int kLargeFleet = 8;
+
 // Each router has one; its parts keep a reference to it.
 struct DecisionContext {
   explicit DecisionContext(const Settings& settings);
 
+  bool IsLargeFleet() const { return settings.relay_count > kLargeFleet; }
   // Appends an action in response to the current event.
   template <typename T>
   void Emit(T&& action) {
--- a/src/decision/endpoint_health.cpp
+++ b/src/decision/endpoint_health.cpp
@@ -22,7 +22,8 @@
 bool EndpointHealth::IsInRecovery(Endpoint& endpoint) {
   UpstreamRoute& route = *endpoint.route;
   const bool slow_start_is_over =
-      route.health.Update(route.rate_limiter.limit(), endpoint.kind, context_, budget_);
+      route.health.Update(route.rate_limiter.limit(), endpoint.kind,
+                          context_.IsLargeFleet() && endpoint.circuit.IsOpen(), context_, budget_);
   if (slow_start_is_over) endpoint.circuit.CloseIfHalfOpen();
   reporter_.Report(endpoint, slow_start_is_over ? RouteHealthCause::kElapsed : RouteHealthCause::kFailed);
   return route.health.in_recovery() || !endpoint.circuit.IsClosed();
@@ -45,10 +46,24 @@
   LogState(endpoint, after_failure ? "circuit opened, calls fail" : "circuit opened, no responses");
 }
 
-void EndpointHealth::StartSlowStart(Endpoint& endpoint, RouteHealthCause cause) {
+bool EndpointHealth::HasServedRecently(const Endpoint& endpoint) const {
+  return endpoint.route->health.last_served() > context_.now - context_.settings.overload_window;
+}
+
+// A few failures prove no outage. But in a large fleet each relay may meet an outage with no more than that,
+// and what all of them send at its end is too much.
+bool EndpointHealth::HasRecovered(const Endpoint& endpoint) const {
+  const RouteHealth& health = endpoint.route->health;
+  if (context_.IsLargeFleet())
+    return health.has_failures() || (endpoint.NeedsTrial() && (health.in_recovery() || health.has_faults()));
+  const bool has_failed_long =
+      context_.now - endpoint.circuit.opened_at() >= context_.settings.overload_window;
+  return endpoint.NeedsTrial() && (health.in_recovery() || (health.has_faults() && has_failed_long));
+}
+
+void EndpointHealth::StartSlowStart(Endpoint& endpoint, bool whole_route, RouteHealthCause cause) {
   UpstreamRoute& route = *endpoint.route;
-  const double initial_tokens = budget_.InitialTokens(route.rate_limiter.limit());
-  route.health.StartSlowStart(initial_tokens, context_.now);
+  route.health.StartSlowStart(budget_.InitialTokens(), whole_route, context_.now);
   reporter_.Report(endpoint, cause);
 }
 
@@ -65,13 +80,13 @@
   const Seconds window = context_.settings.overload_window;
   const bool has_long_retry_after = route.rate_limiter.retry_after_until() > context_.now + window;
   if (sent < health.fault_at() && (health.IsSuspectedOut() || has_long_retry_after)) return;
-  const bool was_out =
-      health.in_recovery() || (health.has_faults() && context_.now - endpoint.circuit.opened_at() >= window);
-  const bool has_recovered = was_out && endpoint.NeedsTrial();
-  health.OnServed(context_.now);
+  const bool has_recovered = HasRecovered(endpoint);
+  const bool needed_trial = endpoint.NeedsTrial();
+  const bool whole_route = !HasServedRecently(endpoint) || !needed_trial;
+  health.OnServed(sent, context_.now);
   if (has_recovered) {
-    StartSlowStart(endpoint, RouteHealthCause::kServed);
-    gossip_.NotifyPeers(endpoint, RouteGossip::Kind::kRecovered);
+    StartSlowStart(endpoint, whole_route, RouteHealthCause::kServed);
+    if (needed_trial) gossip_.NotifyPeers(endpoint, RouteGossip::Kind::kRecovered);
   }
   if (endpoint.circuit.IsOpen()) CloseCircuits(endpoint, has_recovered);
   reporter_.Report(endpoint, RouteHealthCause::kServed);
@@ -90,8 +105,12 @@
 
 void EndpointHealth::OnRejected(Endpoint& endpoint, Seconds retry_after, Seconds sent) {
   UpstreamRoute& route = *endpoint.route;
-  route.health.CountFault(sent, context_.now);
-  route.rate_limiter.OnRejected(context_);
+  route.health.CountRejection(sent, context_.now);
+  const bool is_large_fleet_without_gossip = context_.IsLargeFleet() && !context_.settings.may_gossip;
+  if (is_large_fleet_without_gossip) route.health.CountRejectionAsFailure();
+  const double capacity = budget_.EstimateCapacity(route.rate_limiter.limit(), endpoint.kind);
+  route.rate_limiter.OnRejected(context_,
+                                is_large_fleet_without_gossip ? budget_.RejectionSpread(capacity) : 0);
   if (route.rate_limiter.ReduceSendRate(context_))
     gossip_.NotifyPeers(endpoint, RouteGossip::Kind::kRejected);
   // A Retry-After longer than the overload window indicates an outage rather than an exceeded rate limit.
@@ -100,7 +119,7 @@
 }
 
 void EndpointHealth::OnFailed(Endpoint& endpoint, bool never_ran, Seconds sent) {
-  endpoint.route->health.CountFault(sent, context_.now);
+  endpoint.route->health.CountFailure(sent, context_);
   endpoint.RecordOutcome(false);
   reporter_.Report(endpoint, RouteHealthCause::kFailed);
   const Seconds recently = context_.now - kRecentServeWindow * context_.settings.overload_window;
--- a/src/decision/endpoint_health.h
+++ b/src/decision/endpoint_health.h
@@ -25,8 +25,11 @@
   void DetectStall(Endpoint& endpoint);
   // Opens the circuit. `after_failure` selects the reason that is logged: failed calls, or no responses.
   void OpenCircuit(Endpoint& endpoint, bool after_failure);
-  // Starts slow start on the endpoint's route, which serves calls again.
-  void StartSlowStart(Endpoint& endpoint, RouteHealthCause cause);
+  // Starts slow start on the endpoint's route, which serves calls again: for all of its endpoints, or only
+  // for those whose circuits are not closed.
+  void StartSlowStart(Endpoint& endpoint, bool whole_route, RouteHealthCause cause);
+  // Whether the route has served a call within an overload window.
+  bool HasServedRecently(const Endpoint& endpoint) const;
 
   // Handle the outcome of a call or health check that was sent at `sent`.
   void OnServed(Endpoint& endpoint, Seconds sent);
@@ -34,6 +37,8 @@
   void OnFailed(Endpoint& endpoint, bool never_ran, Seconds sent);
 
  private:
+  // Whether a served call, before it is counted, shows that the route was out.
+  bool HasRecovered(const Endpoint& endpoint) const;
   void CloseCircuits(Endpoint& endpoint, bool after_outage);
   void LogState(const Endpoint& endpoint, const char* state);
 
--- a/src/decision/gossip_receiver.cpp
+++ b/src/decision/gossip_receiver.cpp
@@ -31,9 +31,10 @@
 }
 
 void GossipReceiver::OnRecovered(Endpoint& endpoint) {
-  if (!endpoint.NeedsTrial()) return;
+  if (!endpoint.NeedsTrial() && !endpoint.route->health.has_failures()) return;
   const bool has_started = endpoint.route->health.slow_start_at() == context_.now;  // once per route
-  if (!has_started) health_.StartSlowStart(endpoint, RouteHealthCause::kGossip);
+  if (!has_started)
+    health_.StartSlowStart(endpoint, !health_.HasServedRecently(endpoint), RouteHealthCause::kGossip);
   endpoint.circuit.HalfOpenIfOpen();
 }
 
--- a/src/decision/health_check.cpp
+++ b/src/decision/health_check.cpp
@@ -62,7 +62,7 @@
   const Seconds sent = context_.now - outcome.duration;
   if (outcome.outcome == Outcome::kServed && endpoint->circuit.IsOpen()) {
     endpoint->circuit.HalfOpenIfOpen();  // a passed health check proves little, so calls start slowly
-    health_.StartSlowStart(*endpoint, RouteHealthCause::kServed);
+    health_.StartSlowStart(*endpoint, !health_.HasServedRecently(*endpoint), RouteHealthCause::kServed);
   } else if (outcome.outcome == Outcome::kRejected) {
     health_.OnRejected(*endpoint, 0, sent);
   } else if (outcome.outcome != Outcome::kServed) {
--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -63,15 +63,16 @@
 
 // Without jitter and doubling, all relays that a route has rejected would retry together at the end of the
 // same Retry-After.
-void RateLimiter::OnRejected(DecisionContext& context) {
+void RateLimiter::OnRejected(DecisionContext& context, Seconds spread) {
   const Settings& settings = context.settings;
   const Seconds first =
       std::max(std::min(kMaxFirstBackoff, kFirstBackoff * context.share_count) * settings.overload_window,
                limit_ > 0 ? kMinFirstBackoffCalls / limit_ : 0);
   const Seconds backoff =
       std::min(settings.slow_start_duration, first * std::exp2(consecutive_rejections_++));
-  backoff_until_ = std::max(
-      backoff_until_, std::max(context.now, retry_after_until_) + backoff * context.random.JitterFactor());
+  const Seconds delay =
+      std::max(backoff * context.random.JitterFactor(), spread > 0 ? spread * context.random.Uniform() : 0);
+  backoff_until_ = std::max(backoff_until_, std::max(context.now, retry_after_until_) + delay);
 }
 
 bool RateLimiter::ReduceSendRate(const DecisionContext& context) {
--- a/src/decision/rate_limiter.h
+++ b/src/decision/rate_limiter.h
@@ -23,8 +23,9 @@
   // Takes a token for a call or a health check.
   void Charge();
   void OnServed();
-  // Starts a backoff, which doubles with each consecutive rejection.
-  void OnRejected(DecisionContext& context);
+  // Starts a backoff, which doubles with each consecutive rejection. It is drawn from up to `spread` if that
+  // is longer.
+  void OnRejected(DecisionContext& context, Seconds spread);
   // Reduces the send rate, at most once per kRateControlSpan. Returns whether it was reduced.
   bool ReduceSendRate(const DecisionContext& context);
   // Allows no call before `until`; an earlier Retry-After that lasts longer stays in force.
--- a/src/decision/recovery_budget.h
+++ b/src/decision/recovery_budget.h
@@ -8,9 +8,6 @@
 
 namespace opalroute::decision {
 
-// A fleet of more relays than this counts as large, which changes how it uses gossip and idle connections.
-constexpr int kLargeFleet = 8;
-
 // Owns the lowest known limit of each endpoint kind; all else follows from the settings and the fleet size.
 class RecoveryBudget {
  public:
@@ -24,19 +21,29 @@
   // Calls per second that all relays together may send at `share` (0 to 1) of the capacity.
   double FleetRate(double capacity, double share) const;
   // Calls per second that this relay may send in a slow start that has lasted for `elapsed`.
-  double SlowStartRate(double limit, double capacity, Seconds elapsed) const;
+  double SlowStartRate(double capacity, Seconds elapsed) const;
   // Tokens at the beginning of a slow start.
-  double InitialTokens(double limit);
+  double InitialTokens();
   // Time between two recovery trials of one relay while `relays_sending_trials` relays send them.
   Seconds TrialInterval(double capacity, double relays_sending_trials) const;
-  // Random delay of the first trial of a suspected outage; short, as the suspicion may be a false alarm.
+  // The longest time over which the retries of rejected calls are spread, as the rejection may be due to an
+  // outage that all relays meet: the time between two calls of one relay if all call a route that has just
+  // recovered, but not longer than a false alarm may delay a request.
+  Seconds RejectionSpread(double capacity) const;
+  // Random delay of the first trial of an outage that other relays suspect; short, as they may be wrong.
+  Seconds RandomSoonTrialDelay();
+  // The same for an outage that this relay suspects. In a large fleet half of the relays wait longer: each
+  // relay that learns of an outage would otherwise send as many calls after it has learned of it as before.
   Seconds RandomFirstTrialDelay();
   // How long a due trial may wait to be sent before it is scheduled again at random.
   Seconds MaxTrialDelay() const;
 
  private:
   double TrialShare() const;
-  bool AllRelaysKnowOfRecovery(double limit) const;
+  bool AllRelaysKnowOfRecovery() const;
+  static double MaxCalls(double allowed);
+  static double LargeFleetCalls(double allowed);
+  double SmallFleetCalls(double allowed) const;
 
   DecisionContext& context_;
   std::vector<double> min_limit_by_kind_;
--- a/src/decision/request_router.cpp
+++ b/src/decision/request_router.cpp
@@ -105,8 +105,7 @@
   // All relays return to the zone at the same time, so a route that was not called in the meantime starts
   // slowly.
   void RestoreTraffic(Endpoint& endpoint) {
-    endpoint.route->health.RequireSlowStart();
-    health_.StartSlowStart(endpoint, RouteHealthCause::kZone);
+    health_.StartSlowStart(endpoint, true, RouteHealthCause::kZone);
     endpoint.circuit.HalfOpenIfOpen();
   }
 
@@ -138,7 +137,7 @@
   IdleConnections idle_connections_{context_, table_, zones_};
   GossipReceiver gossip_receiver_{context_, table_, health_, idle_connections_};
   StateMerger state_merger_{context_, table_, health_, budget_, latency_, reporter_};
-  RouteHealthRecovery route_health_recovery_{context_, table_, pacer_, reporter_};
+  RouteHealthRecovery route_health_recovery_{context_, table_, pacer_, budget_, reporter_};
   RequestTable requests_;
   RequestQueue queue_{context_, table_, latency_};
   RetryPolicy retry_policy_{context_, table_, latency_};
--- a/src/decision/route_health.cpp
+++ b/src/decision/route_health.cpp
@@ -13,21 +13,28 @@
 
 }  // namespace
 
-void RouteHealth::CountFault(Seconds sent, Seconds now) {
+void RouteHealth::CountRejection(Seconds sent, Seconds now) {
   if (sent >= fault_at_) ++faults_;
   fault_at_ = now;
 }
 
+void RouteHealth::CountFailure(Seconds sent, const DecisionContext& context) {
+  if (context.IsLargeFleet() && sent < last_served_sent_) return;
+  CountRejection(sent, context.now);
+  has_failures_ = true;
+}
+
 void RouteHealth::CountLongRetryAfter() { faults_ += kMaxFaultsToSuspect; }
 
 // The recovery budget counts a relay as informed of an outage after one fault, which an exceeded limit can
 // cause as well: docs/design.md, 'Suspected outages and recovery'.
-bool RouteHealth::Update(double limit, int kind, DecisionContext& context, RecoveryBudget& budget) {
+bool RouteHealth::Update(double limit, int kind, bool has_trial, DecisionContext& context,
+                         RecoveryBudget& budget) {
   const Settings& settings = context.settings;
   const bool may_be_out =
       faults_ >= kMinFaultsToSuspect && last_served_ <= context.now - settings.overload_window;
   if (may_be_out && faults_ >= FaultsToSuspect(limit, kind, context, budget)) {
-    if (!std::exchange(in_recovery_, true)) ScheduleFirstTrial(context.now, budget);
+    if (!std::exchange(in_recovery_, true) && !has_trial) ScheduleFirstTrial(context.now, budget);
     slow_start_at_ = kNever;
   }
   if (context.now - slow_start_at_ < settings.slow_start_duration) return false;
@@ -45,17 +52,21 @@
   return std::min(kMaxFaultsToSuspect, kMinFaultsToSuspect + static_cast<int>(std::lround(own_calls)));
 }
 
-void RouteHealth::OnServed(Seconds now) {
+void RouteHealth::OnServed(Seconds sent, Seconds now) {
   faults_ = 0;
+  has_failures_ = false;
   last_served_ = now;
+  last_served_sent_ = std::max(last_served_sent_, sent);
 }
 
 void RouteHealth::ScheduleFirstTrial(Seconds now, RecoveryBudget& budget) {
   next_trial_at_ = now + budget.RandomFirstTrialDelay();
 }
 
-void RouteHealth::StartSlowStart(double initial_tokens, Seconds now) {
+void RouteHealth::StartSlowStart(double initial_tokens, bool whole_route, Seconds now) {
   faults_ = 0;
+  has_failures_ = false;
+  in_recovery_ = in_recovery_ || whole_route;
   slow_start_at_ = now;
   slow_start_bucket_ = {initial_tokens, now};
 }
@@ -71,7 +82,7 @@
   in_recovery_ = true;
   slow_start_at_ = kNever;
   fault_at_ = std::max(fault_at_, failed_at);
-  ScheduleFirstTrial(now, budget);
+  ScheduleTrial(now + budget.RandomSoonTrialDelay());
 }
 
 void RouteHealth::MergeSlowStart(Seconds since, Seconds now) {
@@ -83,6 +94,7 @@
 
 void RouteHealth::RecoverFaults(int faults, Seconds fault_at) {
   faults_ = faults;
+  has_failures_ = faults > 0;
   fault_at_ = fault_at;
 }
 
--- a/src/decision/route_health_recovery.cpp
+++ b/src/decision/route_health_recovery.cpp
@@ -3,8 +3,8 @@
 namespace opalroute::decision {
 
 RouteHealthRecovery::RouteHealthRecovery(DecisionContext& context, EndpointTable& table, CallPacer& pacer,
-                                         RouteHealthReporter& reporter)
-    : context_(context), table_(table), pacer_(pacer), reporter_(reporter) {}
+                                         RecoveryBudget& budget, RouteHealthReporter& reporter)
+    : context_(context), table_(table), pacer_(pacer), budget_(budget), reporter_(reporter) {}
 
 void RouteHealthRecovery::Apply(const RecoveredRouteHealth& recovered) {
   Destination* destination = table_.FindDestination(recovered.destination);
@@ -24,7 +24,7 @@
     ScheduleTrial(endpoint);
   } else if (recovered.condition == RouteCondition::kSlowStart) {
     health.RecoverSlowStart(at, context_.now);
-  } else if (recovered.faults > 0) {
+  } else if (recovered.faults > 0 && context_.IsLargeFleet()) {
     health.RecoverFaults(recovered.faults, at);
   }
   reporter_.Report(endpoint, RouteHealthCause::kRecovered);
@@ -32,16 +32,18 @@
 
 void RouteHealthRecovery::RecoverCircuit(Endpoint& endpoint) {
   if (!endpoint.circuit.IsClosed() || endpoint.last_served > -kNever) return;
-  endpoint.circuit.Open(context_.now);
+  endpoint.circuit.RecoverOpen(context_.now);
   table_.MarkForCheck(endpoint.endpoint);
   ScheduleTrial(endpoint);
   reporter_.Report(endpoint, RouteHealthCause::kRecovered);
 }
 
-// All relays may have been restarted at once, so the trials are spread as in the course of an outage.
+// All relays may have been restarted at once, so the trials of a large fleet are spread as in the course of
+// an outage.
 void RouteHealthRecovery::ScheduleTrial(Endpoint& endpoint) {
-  const Seconds interval = pacer_.TrialInterval(endpoint);
-  endpoint.route->health.ScheduleTrial(context_.now + interval * context_.random.Uniform());
+  const Seconds delay = context_.IsLargeFleet() ? pacer_.TrialInterval(endpoint) * context_.random.Uniform()
+                                                : budget_.RandomSoonTrialDelay();
+  endpoint.route->health.ScheduleTrial(context_.now + delay);
 }
 
 }  // namespace opalroute::decision
--- a/src/decision/route_health_recovery.h
+++ b/src/decision/route_health_recovery.h
@@ -4,6 +4,7 @@
 #include "decision/call_pacer.h"
 #include "decision/context.h"
 #include "decision/endpoint_table.h"
+#include "decision/recovery_budget.h"
 #include "decision/route_health_reporter.h"
 
 namespace opalroute::decision {
@@ -12,7 +13,7 @@
 class RouteHealthRecovery {
  public:
   RouteHealthRecovery(DecisionContext& context, EndpointTable& table, CallPacer& pacer,
-                      RouteHealthReporter& reporter);
+                      RecoveryBudget& budget, RouteHealthReporter& reporter);
 
   void Apply(const RecoveredRouteHealth& recovered);
 
@@ -24,6 +25,7 @@
   DecisionContext& context_;
   EndpointTable& table_;
   CallPacer& pacer_;
+  RecoveryBudget& budget_;
   RouteHealthReporter& reporter_;
 };
 
--- a/src/decision/route_health_reporter.cpp
+++ b/src/decision/route_health_reporter.cpp
@@ -66,8 +66,7 @@
     const double limit = route.rate_limiter.limit();
     const Seconds elapsed = context_.now - route.health.slow_start_at();
     change.age = elapsed;
-    change.calls_per_second =
-        budget_.SlowStartRate(limit, budget_.EstimateCapacity(limit, endpoint.kind), elapsed);
+    change.calls_per_second = budget_.SlowStartRate(budget_.EstimateCapacity(limit, endpoint.kind), elapsed);
   }
   return change;
 }
--- a/tests/decision/circuit_breaker_test.cpp
+++ b/tests/decision/circuit_breaker_test.cpp
@@ -101,8 +101,12 @@
   RunUntil(now_ + 1.5);
   ASSERT_EQ(SendsFor(1).size(), 2U);
   EndAttempt(1, 1, SendsFor(1)[1].endpoint, Outcome::kServed);
+  std::map<EndpointId, bool> circuit_open;
+  for (const RouteHealthChanged& change : Emitted<RouteHealthChanged>())
+    if (change.endpoint != 0) circuit_open[change.endpoint] = change.circuit_open;
+  for (EndpointId id = 1; id <= 3; ++id) EXPECT_EQ(circuit_open[id], id == SendsFor(1)[0].endpoint) << id;
   for (RequestId id = 2; id <= 4; ++id) Receive(id, kNonIdempotentClass);
-  RunUntil(now_ + 0.2);
+  RunUntil(now_ + s.slow_start_duration + 0.2);
   for (RequestId id = 2; id <= 4; ++id) EXPECT_EQ(SendsFor(id).size(), 1U) << id;
 }
 
--- a/tests/decision/route_health_recovery_test.cpp
+++ b/tests/decision/route_health_recovery_test.cpp
@@ -1,4 +1,5 @@
 // What an earlier process of a relay knew of an outage limits the calls of the next one.
+#include "decision/route_gossip.h"
 #include "tests/decision/fixture.h"
 
 namespace opalroute::decision {
@@ -9,14 +10,14 @@
 
 class RouteHealthRecoveryTest : public RouterTest {
  protected:
-  // A process of one of 41 relays, with the endpoint list and nothing else.
-  void StartProcess() {
+  // A process of one of 41 relays, with the endpoint list and nothing else. `limit` 0: not known.
+  void StartProcess(double limit = kLimit) {
     Settings settings = TestSettings();
     settings.relay_count = 41;
     settings.may_gossip = true;
     settings.listed_rate_accuracy = ListedRateAccuracy::kExact;
     Start(settings);
-    UpdateList({MakeEndpoint(1, 1, 0, 1, EndpointStatus::kInService, kLimit)});
+    UpdateList({MakeEndpoint(1, 1, 0, 1, EndpointStatus::kInService, limit)});
   }
   // Calls to the endpoint within the next overload window, with requests waiting all the time; all are
   // served.
@@ -78,6 +79,24 @@
   EXPECT_TRUE(Emitted<RouteHealthChanged>().empty());
 }
 
+TEST_F(RouteHealthRecoveryTest, RecoveryGossipGivesEachRelayItsPartAlsoWhereNoLimitIsKnown) {
+  StartProcess(0);
+  FailCalls(3);
+  Handle(GossipReceived{2, EncodeRouteGossip({RouteGossip::Kind::kRecovered, 1, 0})});
+  EXPECT_LE(CallsInAWindow(), 1);
+}
+
+TEST_F(RouteHealthRecoveryTest, InALargeFleetASlowStartFollowsASingleFailedCall) {
+  StartProcess();
+  FailCalls(1);
+  Receive(1, kIdempotentClass);
+  RunUntil(now_ + 60);
+  ASSERT_FALSE(SendsFor(1).empty());
+  EndAttempt(1, 0, 1, Outcome::kServed);
+  EXPECT_EQ(Emitted<RouteHealthChanged>().back().condition, RouteCondition::kSlowStart);
+  EXPECT_LE(CallsInAWindow(), 1);
+}
+
 TEST_F(RouteHealthRecoveryTest, EachChangeOfARouteIsReportedOnceWithItsCause) {
   StartProcess();
   FailCalls(3);
