--- a/src/decision/route_health_reporter.cpp
+++ b/src/decision/route_health_reporter.cpp
@@ -1,7 +1,6 @@
 #include "decision/route_health_reporter.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "decision/upstream.h"
 
@@ -35,7 +34,7 @@
   change.previous = reported.condition;
   reported = {change.condition, change.faults, slow_start_at};
   if (endpoint.HasOwnRoute()) endpoint.reported_circuit_open = change.circuit_open;
-  context_.Emit(std::move(change));
+  context_.Emit(change);
 }
 
 void RouteHealthReporter::ReportCircuit(Endpoint& endpoint, RouteHealthCause cause) {
@@ -48,7 +47,7 @@
   change.age = context_.now - endpoint.circuit.opened_at();
   change.cause = cause;
   change.share_count = context_.share_count;
-  context_.Emit(std::move(change));
+  context_.Emit(change);
 }
 
 RouteHealthChanged RouteHealthReporter::Describe(const Endpoint& endpoint, RouteHealthCause cause) const {
