A deduplicated request that was rejected in one zone is not sent there again after a restart

The request went on to the other zone. After a restart, or when its delivery was doubted and it was reopened, RetryPolicy::Bounds bound it to the first attempt that may have run, which is the rejected one.

Why this works: a request goes to another zone only while all earlier attempts count as rejected, so of a recovered request the latest attempt that may have run names its zone. Attempts that may have run in two zones leave none. Kin: a doubt before the first byte of a waiting attempt; doubts and unconfirmed outcomes of a reopened request, which were lost with its old id.

Changed check: ADeduplicatedRequestStaysInItsZoneAndWindow recovered attempts that may have run in zone 1, then in zone 0, and wanted zone 1. Attempts are not made in that order unless the first was rejected, so the binding zone is the later one. Now both attempts are in one zone, and the window is checked as well; the order over two zones has a test of its own.

--- a/include/opalroute/request_router.h
+++ b/include/opalroute/request_router.h
@@ -32,6 +32,10 @@
   // Whether a Send that has waited for a connection may still be sent: the endpoint is in service, and its
   // route has no Retry-After in effect.
   bool MaySend(Seconds now, EndpointId endpoint) const;
+  // Whether the Send of an attempt (an index into the request's attempts) that has waited for a connection
+  // may still be sent: MaySend of its endpoint holds, and what has become known of the request's other
+  // attempts in the meantime does not forbid it. False for an unknown request or attempt.
+  bool MaySendAttempt(Seconds now, RequestId request, int attempt) const;
 
   // Returns the route states of up to `max_destinations` destinations, in the order of their ids, starting at
   // `from`. Sets `from` to the id to continue at, or to nothing after the last destination.
--- a/src/decision/hedging.cpp
+++ b/src/decision/hedging.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "decision/retry_policy.h"
 #include "decision/upstream.h"
 
 namespace opalroute::decision {
@@ -29,9 +30,7 @@
   const RequestClass& request_class = settings.classes[request.request_class];
   if (request_class.idempotency == Idempotency::kNonIdempotent) return false;
   if (request.attempts.size() > 1 || settings.max_attempts < 2) return false;
-  const bool is_bound_to_zone = request_class.idempotency == Idempotency::kIdempotencyKey &&
-                                request_class.deduplication_scope == DeduplicationScope::kZone;
-  return !is_bound_to_zone || second.zone == first.zone;
+  return !IsBoundToZone(request_class) || second.zone == first.zone;
 }
 
 }  // namespace opalroute::decision
--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -22,6 +22,8 @@
   bool in_flight = true;
   bool cancelled = false;  // the outcome is still pending
   bool may_have_run = false;
+
+  bool MayRunOrHaveRun() const { return in_flight || may_have_run; }
 };
 
 // Groups waiting requests that differ only in their age when the next one is chosen.
--- a/src/decision/request_lifecycle.cpp
+++ b/src/decision/request_lifecycle.cpp
@@ -6,6 +6,20 @@
 #include "decision/outcome.h"
 
 namespace opalroute::decision {
+namespace {
+
+// Of a request that is bound to a zone once it may have run. An attempt is made in another zone only while
+// all earlier ones count as rejected, so the latest attempt tells in which zone the request may have run.
+// Earlier ones in other zones may still be recorded as such, as their rejections had not been confirmed.
+void DropAttemptsRejectedInOtherZones(std::vector<Attempt>& attempts) {
+  const auto latest = std::find_if(attempts.rbegin(), attempts.rend(),
+                                   [](const Attempt& attempt) { return attempt.may_have_run; });
+  if (latest == attempts.rend()) return;
+  const int zone = latest->zone;
+  for (Attempt& attempt : attempts) attempt.may_have_run = attempt.may_have_run && attempt.zone == zone;
+}
+
+}  // namespace
 
 RequestLifecycle::RequestLifecycle(DecisionContext& context, EndpointTable& table, RequestTable& requests,
                                    RequestQueue& queue, RetryPolicy& retry_policy)
@@ -35,6 +49,8 @@
     attempt.may_have_run = earlier.may_have_run;
     request.attempts.push_back(attempt);
   }
+  if (IsBoundToZone(context_.settings.classes[request.request_class]))
+    DropAttemptsRejectedInOtherZones(request.attempts);
   QueueInKeyOrder(request);
 }
 
--- a/src/decision/request_router.cpp
+++ b/src/decision/request_router.cpp
@@ -49,6 +49,14 @@
            endpoint->route->rate_limiter.retry_after_until() <= now;
   }
 
+  bool MaySendAttempt(Seconds now, RequestId id, int attempt) const {
+    const Request* request = requests_.Find(id);
+    if (request == nullptr || attempt < 0) return false;
+    const auto index = static_cast<std::size_t>(attempt);
+    return index < request->attempts.size() && MaySend(now, request->attempts[index].endpoint) &&
+           retry_policy_.MayStillSend(*request, index, now);
+  }
+
   const EndpointTable& table() const { return table_; }
 
  private:
@@ -171,6 +179,10 @@
 
 bool RequestRouter::MaySend(Seconds now, EndpointId endpoint) const { return impl_->MaySend(now, endpoint); }
 
+bool RequestRouter::MaySendAttempt(Seconds now, RequestId request, int attempt) const {
+  return impl_->MaySendAttempt(now, request, attempt);
+}
+
 std::vector<RouteState> RequestRouter::ExportRouteStates(Seconds now, std::optional<DestinationId>& from,
                                                          int max_destinations) const {
   return decision::ExportRouteStates(impl_->table(), now, from, max_destinations);
--- a/src/decision/retry_policy.cpp
+++ b/src/decision/retry_policy.cpp
@@ -16,26 +16,52 @@
 
 }  // namespace
 
+bool IsBoundToZone(const RequestClass& request_class) {
+  return request_class.idempotency == Idempotency::kIdempotencyKey &&
+         request_class.deduplication_scope == DeduplicationScope::kZone;
+}
+
 RetryPolicy::RetryPolicy(DecisionContext& context, EndpointTable& table, const LatencyEstimator& latency)
     : context_(context), table_(table), latency_(latency) {}
 
 std::optional<AttemptBounds> RetryPolicy::Bounds(const Request& request) const {
+  std::vector<const Attempt*> attempts;
+  for (const Attempt& attempt : request.attempts) {
+    if (attempt.MayRunOrHaveRun()) attempts.push_back(&attempt);
+  }
+  return BoundsSetBy(attempts, request);
+}
+
+std::optional<AttemptBounds> RetryPolicy::BoundsSetBy(const std::vector<const Attempt*>& attempts,
+                                                      const Request& request) const {
   const RequestClass& request_class = context_.settings.classes[request.request_class];
-  if (request_class.idempotency == Idempotency::kIdempotent) return AttemptBounds{};
-  const auto first =
-      std::find_if(request.attempts.begin(), request.attempts.end(),
-                   [](const Attempt& attempt) { return attempt.in_flight || attempt.may_have_run; });
-  if (first == request.attempts.end()) return AttemptBounds{};
+  if (attempts.empty() || request_class.idempotency == Idempotency::kIdempotent) return AttemptBounds{};
   if (request_class.idempotency == Idempotency::kNonIdempotent) return std::nullopt;
+  const Attempt* first = attempts.front();
+  const bool is_bound_to_zone = IsBoundToZone(request_class);
+  const bool in_one_zone = std::all_of(attempts.begin(), attempts.end(), [first](const Attempt* attempt) {
+    return attempt->zone == first->zone;
+  });
+  // Each zone drops only the repeats of what it has run itself, so no zone is left for another attempt.
+  if (is_bound_to_zone && !in_one_zone) return std::nullopt;
   const Seconds window = request_class.deduplication_window;
   const Seconds expected = latency_.Expected(table_.DestinationAt(request.destination));
   const Seconds longest_transit = kMaxTransitShare * window;
   const Seconds transit = expected > 0 ? std::min(expected, longest_transit) : longest_transit;
-  const bool is_bound_to_zone = request_class.deduplication_scope == DeduplicationScope::kZone;
   return AttemptBounds{is_bound_to_zone ? first->zone : kAnyZone,
                        first->sent + window - context_.settings.tick - transit};
 }
 
+bool RetryPolicy::MayStillSend(const Request& request, std::size_t attempt, Seconds now) const {
+  std::vector<const Attempt*> others;
+  for (std::size_t i = 0; i < request.attempts.size(); ++i) {
+    if (i != attempt && request.attempts[i].MayRunOrHaveRun()) others.push_back(&request.attempts[i]);
+  }
+  const auto bounds = BoundsSetBy(others, request);
+  if (!bounds || bounds->send_deadline <= now) return false;
+  return bounds->zone == kAnyZone || bounds->zone == request.attempts[attempt].zone;
+}
+
 bool RetryPolicy::MayAttempt(const Request& request, const std::optional<AttemptBounds>& bounds) const {
   return bounds && bounds->send_deadline > context_.now &&
          request.AttemptsUsed() < context_.settings.max_attempts;
@@ -48,7 +74,7 @@
       request_class.deduplication_scope == DeduplicationScope::kAll)
     return true;
   return std::none_of(request.attempts.begin(), request.attempts.end(),
-                      [](const Attempt& attempt) { return attempt.in_flight || attempt.may_have_run; });
+                      [](const Attempt& attempt) { return attempt.MayRunOrHaveRun(); });
 }
 
 Seconds RetryPolicy::Expiry(const Request& request) const {
--- a/src/decision/retry_policy.h
+++ b/src/decision/retry_policy.h
@@ -1,7 +1,9 @@
 // Decides whether, where and when a request may be sent again, and how long an attempt may take.
 #pragma once
 
+#include <cstddef>
 #include <optional>
+#include <vector>
 
 #include "decision/context.h"
 #include "decision/endpoint_table.h"
@@ -16,6 +18,9 @@
   Seconds send_deadline = kNever;
 };
 
+// Whether all attempts of a request of this class that may run or have run must be in one zone.
+bool IsBoundToZone(const RequestClass& request_class);
+
 // Has no state of its own: reads a request, its class and the expected latencies.
 class RetryPolicy {
  public:
@@ -23,6 +28,9 @@
 
   // The bounds set by earlier attempts that may have run; nothing if no further attempt is allowed.
   std::optional<AttemptBounds> Bounds(const Request& request) const;
+  // Whether an attempt that has not been sent yet may still be sent at `now`, by what is known of the
+  // request's other attempts.
+  bool MayStillSend(const Request& request, std::size_t attempt, Seconds now) const;
   // Whether another attempt may be made now.
   bool MayAttempt(const Request& request, const std::optional<AttemptBounds>& bounds) const;
   // Whether the client can repeat the request without doubling an effect of it.
@@ -42,6 +50,10 @@
   Seconds TimeoutAt(const Request& request, const Endpoint& endpoint, double latency_factor) const;
 
  private:
+  // The bounds set by `attempts`, which may run or have run, in the order in which they were sent.
+  std::optional<AttemptBounds> BoundsSetBy(const std::vector<const Attempt*>& attempts,
+                                           const Request& request) const;
+
   DecisionContext& context_;
   EndpointTable& table_;
   const LatencyEstimator& latency_;
--- a/src/relay/outcome_confirmation.cpp
+++ b/src/relay/outcome_confirmation.cpp
@@ -52,6 +52,10 @@
   ArmTimer();
 }
 
+void OutcomeConfirmation::Reassign(RequestId from, RequestId to, const std::vector<int>& attempts) {
+  outcomes_.Reassign(from, to, attempts);
+}
+
 void OutcomeConfirmation::OnCallWritten(std::uint64_t connection) {
   outcomes_.OnCallWritten(connection);
   ArmTimer();
--- a/src/relay/outcome_confirmation.h
+++ b/src/relay/outcome_confirmation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "config/limits.h"
 #include "log/line_limiter.h"
@@ -41,6 +42,9 @@
 
   // `stated_timeout_at`: the time until which the endpoint may respond, as stated to it.
   void Add(std::uint64_t connection, UnconfirmedOutcome outcome, Seconds stated_timeout_at);
+  // The unconfirmed outcomes of a request pass to another one. Its attempt `attempts[i]` is attempt i of the
+  // first.
+  void Reassign(RequestId from, RequestId to, const std::vector<int>& attempts);
   // A call on the connection has been written, or has ended.
   void OnCallWritten(std::uint64_t connection);
   void OnCallEnded(std::uint64_t connection);
--- a/src/relay/request_recovery.cpp
+++ b/src/relay/request_recovery.cpp
@@ -69,10 +69,10 @@
   if (!adopted.empty()) log::Info("requests_taken_over", {{"requests", adopted.size()}});
 }
 
-void RequestRecovery::Reopen(const std::string& client_id) {
+RequestId RequestRecovery::Reopen(const std::string& client_id) {
   const JournalEntry* entry = dependencies_.journal.FindEntry(client_id);
-  if (entry == nullptr) return;
-  Recover(JournalEntry(*entry));  // a copy, since recovering it may write to the journal
+  if (entry == nullptr) return 0;
+  return Recover(JournalEntry(*entry));  // a copy, since recovering it may write to the journal
 }
 
 // Moves the entries of the other journal to the own one and returns their numbers there. A process that
@@ -91,10 +91,10 @@
   return adopted;
 }
 
-void RequestRecovery::Recover(const JournalEntry& entry) {
+RequestId RequestRecovery::Recover(const JournalEntry& entry) {
   if (!entry.notification.empty()) {
     dependencies_.notifier.Add(entry.id, entry.notification);
-    return;
+    return 0;
   }
   const std::int64_t now = dependencies_.clock.Micros();
   RecoveredRequest recovered;
@@ -102,12 +102,14 @@
   for (const JournalAttempt& attempt : entry.attempts) {
     recovered.attempts.push_back(ToEarlierAttempt(attempt, now));
   }
+  const RequestId request_id = recovered.request.request_id;
   // The class is no longer in the settings, so it is unknown whether the request may be sent again.
   if (recovered.request.request_class < 0) {
-    dependencies_.ending.Fail(recovered.request.request_id);
-    return;
+    dependencies_.ending.Fail(request_id);
+  } else {
+    dependencies_.decisions.Post(std::move(recovered));
   }
-  dependencies_.decisions.Post(std::move(recovered));
+  return request_id;
 }
 
 NewRequest RequestRecovery::ToNewRequest(const JournalEntry& entry, std::int64_t now) {
--- a/src/relay/request_recovery.h
+++ b/src/relay/request_recovery.h
@@ -52,12 +52,13 @@
   // its journal is empty.
   void RecoverFromOtherProcess();
   // Takes up a request of this process again whose end has come into doubt. All its attempts that may have
-  // run restrict the further ones.
-  void Reopen(const std::string& client_id);
+  // run restrict the further ones. Returns the new id of the request, or 0 if it is not in the journal.
+  RequestId Reopen(const std::string& client_id);
 
  private:
   std::vector<std::uint64_t> AdoptOtherJournal();
-  void Recover(const JournalEntry& entry);
+  // Returns the new id of the request, or 0 if only its notification is still to be delivered.
+  RequestId Recover(const JournalEntry& entry);
   NewRequest ToNewRequest(const JournalEntry& entry, std::int64_t now);
   EarlierAttempt ToEarlierAttempt(const JournalAttempt& attempt, std::int64_t now);
 
--- a/src/relay/request_table.h
+++ b/src/relay/request_table.h
@@ -27,6 +27,7 @@
   int attempts_in_flight = 0;         // attempts without an outcome
   std::vector<int> journal_attempts;  // for each attempt its index in the journal, or -1
   int recorded_attempts = 0;          // attempts in the journal
+  std::vector<int> doubted_attempts;  // that counted as never run by responses that have come into doubt
   bool ended = false;
   // It counts as delivered, or as over at the endpoint, by a response that is not confirmed yet; the router
   // has let it go.
--- a/src/relay/upstream_calls.cpp
+++ b/src/relay/upstream_calls.cpp
@@ -122,6 +122,8 @@
   if (attempt.send_deadline <= now) return "the deduplication window has ended";
   if (!decisions_.router().MaySend(now, call.endpoint()))
     return "the endpoint is draining or removed, or a Retry-After is in force";
+  if (!decisions_.router().MaySendAttempt(now, attempt.request_id, attempt.number))
+    return "an earlier attempt may have run, in another zone or too long ago";
   return nullptr;
 }
 
@@ -246,17 +248,35 @@
   AcceptedRequest* request = requests_.Find(outcome.request_id);
   if (request == nullptr || request->ended) return;
   LogDoubt(*request, outcome, cause);
-  if (request->IsOpen()) {
-    if (decision::ProvesNeverRan(outcome.outcome))
-      decisions_.Post(AttemptMayHaveRun{outcome.request_id, outcome.attempt});
-    return;
+  if (!outcome.request_ended) {
+    if (decision::ProvesNeverRan(outcome.outcome)) OnRejectionDoubted(*request, outcome);
+  } else if (!request->IsOpen()) {
+    if (outcome.outcome == Outcome::kServed) counters_.UncountDelivered(request->request_class);
+    Reopen(outcome.request_id, *request);
+  }
+}
+
+void UpstreamCalls::OnRejectionDoubted(AcceptedRequest& request, const UnconfirmedOutcome& outcome) {
+  request.doubted_attempts.push_back(outcome.attempt);
+  if (request.IsOpen()) decisions_.Post(AttemptMayHaveRun{outcome.request_id, outcome.attempt});
+}
+
+// What is known of the request's attempts, and what is still unconfirmed of them, passes to the new entry,
+// whose attempts have the numbers that they have in the journal.
+void UpstreamCalls::Reopen(RequestId request_id, AcceptedRequest& request) {
+  const std::string client_id = request.id;
+  const std::vector<int> journal_attempts = request.journal_attempts;
+  const std::vector<int> doubted_attempts = request.doubted_attempts;
+  requests_.Supersede(request);
+  requests_.RemoveIfDone(request_id);
+  const RequestId successor = callbacks_.on_reopened(client_id);
+  confirmation_.Reassign(request_id, successor, journal_attempts);
+  AcceptedRequest* reopened = requests_.Find(successor);
+  for (const int attempt : doubted_attempts) {
+    const int journal_attempt = journal_attempts[static_cast<std::size_t>(attempt)];
+    if (reopened != nullptr) reopened->doubted_attempts.push_back(journal_attempt);
+    decisions_.Post(AttemptMayHaveRun{successor, journal_attempt});
   }
-  if (!outcome.request_ended) return;
-  if (outcome.outcome == Outcome::kServed) counters_.UncountDelivered(request->request_class);
-  const std::string client_id = request->id;
-  requests_.Supersede(*request);
-  requests_.RemoveIfDone(outcome.request_id);
-  callbacks_.on_reopened(client_id);
 }
 
 void UpstreamCalls::OnUnmatchedRetryAfter(EndpointId id, Seconds retry_after) {
--- a/src/relay/upstream_calls.h
+++ b/src/relay/upstream_calls.h
@@ -28,8 +28,9 @@
   struct Callbacks {
     std::function<void()> on_call_ended;                      // or an outcome was confirmed
     std::function<void(EndpointId, Seconds)> on_retry_after;  // an endpoint has sent one (in seconds)
-    // A request that had probably ended has to be taken up again; by the client's id.
-    std::function<void(const std::string&)> on_reopened;
+    // A request that had probably ended has to be taken up again; by the client's id. Returns its new id, or
+    // 0.
+    std::function<RequestId(const std::string&)> on_reopened;
   };
   UpstreamCalls(net::EventLoop& loop, const PersistentClock& clock, net::HttpClient& client,
                 const Config& config, Counters& counters, EndpointTable& endpoints, RequestTable& requests,
@@ -61,6 +62,8 @@
   void OnConfirmed(const UnconfirmedOutcome& outcome) override;
   void OnDoubted(const UnconfirmedOutcome& outcome, DoubtCause cause) override;
   void OnUnmatchedRetryAfter(EndpointId endpoint, Seconds retry_after) override;
+  void OnRejectionDoubted(AcceptedRequest& request, const UnconfirmedOutcome& outcome);
+  void Reopen(RequestId request_id, AcceptedRequest& request);
   void RecordOutcome(AcceptedRequest& request, const AttemptOutcome& outcome);
   void HoldUntilConfirmed(const UpstreamCall& call, AcceptedRequest& request, const AttemptOutcome& outcome);
   void StartCall(EndpointId endpoint, Batch batch);
--- a/src/upstream/unconfirmed_outcomes.cpp
+++ b/src/upstream/unconfirmed_outcomes.cpp
@@ -12,6 +12,16 @@
   entry.outcomes.push_back(outcome);
 }
 
+void UnconfirmedOutcomes::Reassign(RequestId from, RequestId to, const std::vector<int>& attempts) {
+  for (auto& [number, connection] : connections_) {
+    for (UnconfirmedOutcome& outcome : connection.outcomes) {
+      if (outcome.request_id != from) continue;
+      outcome.request_id = to;
+      outcome.attempt = attempts[static_cast<std::size_t>(outcome.attempt)];
+    }
+  }
+}
+
 Seconds UnconfirmedOutcomes::DueOf(const Connection& connection, const UnconfirmedOutcome& outcome) {
   const Seconds latest = std::max(outcome.confirmed_at, outcome.deadline);
   return connection.has_call_in_flight ? latest : std::min(connection.confirmed_at, latest);
--- a/src/upstream/unconfirmed_outcomes.h
+++ b/src/upstream/unconfirmed_outcomes.h
@@ -28,6 +28,9 @@
   // long as this one: if one of them took a repeated response, this one may have taken the response that
   // belonged to it.
   void Add(std::uint64_t connection, const UnconfirmedOutcome& outcome);
+  // The outcomes of request `from` become those of `to`, of its attempts with the numbers `attempts[i]`,
+  // where i is the number of the attempt of `from`.
+  void Reassign(RequestId from, RequestId to, const std::vector<int>& attempts);
   // A call on the connection has been written, or has ended. Meanwhile none of its outcomes is confirmed
   // before the request's deadline.
   void OnCallWritten(std::uint64_t connection);
--- a/tests/decision/recovery_test.cpp
+++ b/tests/decision/recovery_test.cpp
@@ -38,9 +38,10 @@
 TEST_F(RecoveryTest, ADeduplicatedRequestStaysInItsZoneAndWindow) {
   for (int i = 0; i < 20; ++i) {
     SetUp();
-    Recover(kDeduplicatedClass, {{1, 0, 3, false}, {2, 1, 2, true}, {1, 0, 1, true}});
+    Recover(kDeduplicatedClass, {{1, 0, 3, false}, {2, 1, 2, true}, {2, 1, 1, true}});
     ASSERT_EQ(SendsFor(1).size(), 1U);
     EXPECT_EQ(SendsFor(1)[0].endpoint, 2U);
+    EXPECT_LE(SendsFor(1)[0].send_deadline, 100 - 2 + 8);  // its window is 8 s
   }
   SetUp();
   Recover(kDeduplicatedClass, {{2, 1, 8.5, true}}, 10);  // its window is 8 s
@@ -48,6 +49,67 @@
   EXPECT_EQ(Emitted<Fail>().size(), 1U);
 }
 
+// Guards against an effect in two zones: endpoint 1 had rejected the request, which was not confirmed yet,
+// and endpoint 2 may have run it when the process was killed. Another attempt at endpoint 1 would run it
+// again.
+TEST_F(RecoveryTest, ADeduplicatedRequestStaysInTheZoneOfItsLatestAttemptThatMayHaveRun) {
+  for (int i = 0; i < 20; ++i) {
+    SetUp();
+    Recover(kDeduplicatedClass, {{1, 0, 3, true}, {2, 1, 2, true}, {1, 0, 1, false}});
+    ASSERT_EQ(SendsFor(1).size(), 1U);
+    EXPECT_EQ(SendsFor(1)[0].endpoint, 2U);
+    EXPECT_LE(SendsFor(1)[0].send_deadline, 100 - 2 + 8);
+  }
+}
+
+// A rejection in zone 0 that comes into doubt after the request was sent to zone 1.
+class DoubtedRejectionTest : public StartedRouterTest {
+ protected:
+  void SetUp() override {
+    Settings settings = TestSettings();
+    settings.may_hedge = false;
+    settings.kinds = {{true, 1}};  // a rejection by one endpoint does not slow down the other
+    Start(settings);
+    UpdateList({MakeEndpoint(1, 1, 0)});
+    Receive(1, kDeduplicatedClass);
+    EndBatch();
+    EndAttempt(1, 0, 1, Outcome::kRejected, 1);
+    UpdateList({MakeEndpoint(1, 1, 0), MakeEndpoint(2, 1, 1)});
+    EndBatch();
+    ASSERT_EQ(SendsFor(1).size(), 2U);
+    ASSERT_EQ(SendsFor(1)[1].endpoint, 2U);
+  }
+};
+
+// Guards against an effect in two zones: the request may run in both zones, so there is no zone left in which
+// a repeat is dropped.
+TEST_F(DoubtedRejectionTest, ADeduplicatedRequestThatMayHaveRunInTwoZonesIsNotSentAgain) {
+  Handle(AttemptMayHaveRun{1, 0});
+  EndAttempt(1, 1, 2, Outcome::kTimeout);
+  RunUntil(now_ + 10);
+  EXPECT_EQ(SendsFor(1).size(), 2U);
+  EXPECT_TRUE(Emitted<Reject>().empty());
+  EXPECT_EQ(Emitted<Fail>().size(), 1U);
+}
+
+TEST_F(DoubtedRejectionTest, ADeduplicatedRequestReturnsToTheDoubtedZoneIfItNeverRanInTheOther) {
+  Handle(AttemptMayHaveRun{1, 0});
+  EndAttempt(1, 1, 2, Outcome::kConnectFailed);
+  RunUntil(now_ + 4);
+  ASSERT_GE(SendsFor(1).size(), 3U);
+  EXPECT_EQ(SendsFor(1)[2].endpoint, 1U);
+}
+
+// Guards against an effect in two zones: the attempt was still waiting for its connection to zone 1 when the
+// doubt arose.
+TEST_F(DoubtedRejectionTest, AnAttemptInAnotherZoneThatWaitsForItsConnectionMayNoLongerBeSent) {
+  EXPECT_TRUE(router_->MaySendAttempt(now_, 1, 1));
+  Handle(AttemptMayHaveRun{1, 0});
+  EXPECT_FALSE(router_->MaySendAttempt(now_, 1, 1));
+  EXPECT_FALSE(router_->MaySendAttempt(now_, 1, 2));
+  EXPECT_FALSE(router_->MaySendAttempt(now_, 2, 0));
+}
+
 TEST_F(RecoveryTest, EarlierAttemptsCountAgainstTheMaximum) {
   Recover(kIdempotentClass, std::vector<EarlierAttempt>(6, {1, 0, 1, true}));
   EXPECT_TRUE(SendsFor(1).empty());
