A request whose rejection is doubted after its window is removed from its queue only once

Cause: RequestQueue::Remove left the phase kWaiting. OnAttemptMayHaveRun removes the request and queues it anew; if its deduplication window is over, queueing ends it instead, and End removes it again. The bucket is gone, and Remove works on an end iterator. With others in the bucket the queue's counts are one too low.

Why this works: Remove itself takes the request out of kWaiting, so a second removal does nothing, whichever path it comes from.

--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -56,7 +56,7 @@
   kWaiting,      // for an endpoint
   kDelayed,      // by a backoff
   kQueuedByKey,  // behind an earlier request of its ordering key
-  kInFlight,     // or ended
+  kNotQueued,    // in flight, or ended
 };
 
 // A request. It is kept until it has ended and all of its attempts have outcomes.
@@ -73,7 +73,7 @@
   int attempts_in_flight = 0;  // attempts without an outcome
   int timeouts = 0;            // attempts that timed out
   int local_shortages = 0;     // attempts that never left this relay; not counted in AttemptsUsed()
-  RequestPhase phase = RequestPhase::kInFlight;
+  RequestPhase phase = RequestPhase::kNotQueued;
   BucketKey bucket;
 
   // Attempts that count against Settings::max_attempts.
--- a/src/decision/request_lifecycle.cpp
+++ b/src/decision/request_lifecycle.cpp
@@ -93,7 +93,7 @@
   attempt.sent = context_.now;
   request.attempts.push_back(attempt);
   ++request.attempts_in_flight;
-  request.phase = RequestPhase::kInFlight;
+  request.phase = RequestPhase::kNotQueued;
   const Seconds send_deadline = retry_policy_.Bounds(request).value_or(AttemptBounds{}).send_deadline;
   const Seconds timeout_at = retry_policy_.TimeoutAt(request, endpoint, latency_factor);
   const bool requires_new_connection = retry_policy_.RequiresNewConnection(request);
@@ -188,7 +188,7 @@
 // Stops counting the request as held, and removes it once all of its attempts have outcomes.
 void RequestLifecycle::Release(Request& request) {
   timers_.ClearExpiry(request);
-  request.phase = RequestPhase::kInFlight;
+  request.phase = RequestPhase::kNotQueued;
   Destination& destination = table_.FindOrAddDestination(request.destination);
   admission_.Release(request, destination);
   if (request.attempts_in_flight > 0) return;
--- a/src/decision/request_queue.cpp
+++ b/src/decision/request_queue.cpp
@@ -47,6 +47,7 @@
 
 void RequestQueue::Remove(Request& request) {
   if (request.phase != RequestPhase::kWaiting) return;
+  request.phase = RequestPhase::kNotQueued;  // a second removal would find no entry
   Destination& destination = table_.FindOrAddDestination(request.destination);
   const auto bucket = destination.waiting.find(request.bucket);
   bucket->second.erase({request.received_at, request.request_id});
--- a/tests/decision/recovery_test.cpp
+++ b/tests/decision/recovery_test.cpp
@@ -110,6 +110,43 @@
   EXPECT_FALSE(router_->MaySendAttempt(now_, 2, 0));
 }
 
+// A request waits for longer than its deduplication window (8 s) after a rejection that then comes into
+// doubt: no further attempt is allowed, and the request ends.
+class DoubtAfterTheWindowTest : public StartedRouterTest {
+ protected:
+  void RejectAndWait(RequestId id) {
+    UpdateList({MakeEndpoint(1, 1)});
+    Receive(id, kDeduplicatedClass);
+    EndBatch();
+    EndAttempt(id, 0, 1, Outcome::kRejected);
+    UpdateList({});
+    RunUntil(now_ + 9);
+  }
+};
+
+// Guards against a crash: the request was removed from its queue twice.
+TEST_F(DoubtAfterTheWindowTest, AWaitingRequestEndsOnce) {
+  RejectAndWait(1);
+  Handle(AttemptMayHaveRun{1, 0});
+  EndBatch();
+  EXPECT_EQ(Emitted<Fail>().size(), 1U);
+  Handle(AttemptMayHaveRun{1, 0});
+  RunUntil(now_ + 12);
+  EXPECT_EQ(Emitted<Fail>().size(), 1U);
+}
+
+// Guards against a stuck queue: the second removal counted another waiting request as removed.
+TEST_F(DoubtAfterTheWindowTest, TheOtherRequestsOfTheQueueAreStillSent) {
+  RejectAndWait(1);
+  Receive(2, kDeduplicatedClass);
+  EndBatch();
+  Handle(AttemptMayHaveRun{1, 0});
+  EndBatch();
+  UpdateList({MakeEndpoint(1, 1)});
+  RunUntil(now_ + 3);
+  EXPECT_EQ(SendsFor(2).size(), 1U);
+}
+
 TEST_F(RecoveryTest, EarlierAttemptsCountAgainstTheMaximum) {
   Recover(kIdempotentClass, std::vector<EarlierAttempt>(6, {1, 0, 1, true}));
   EXPECT_TRUE(SendsFor(1).empty());
