A reopened request that ends over its first doubted rejection is not used for the next one

Cause: Reopen passed the doubts about earlier rejections to the new entry one by one, and kept a pointer to it. A doubt that leaves no zone ends the request, which frees the entry; the next doubt wrote to it.

Why this works: each doubt looks the request up again, by the same function as a doubt about an open one.

--- a/src/relay/upstream_calls.cpp
+++ b/src/relay/upstream_calls.cpp
@@ -249,16 +249,19 @@
   if (request == nullptr || request->ended) return;
   LogDoubt(*request, outcome, cause);
   if (!outcome.request_ended) {
-    if (decision::ProvesNeverRan(outcome.outcome)) OnRejectionDoubted(*request, outcome);
+    if (decision::ProvesNeverRan(outcome.outcome)) DoubtRejection(outcome.request_id, outcome.attempt);
   } else if (!request->IsOpen()) {
     if (outcome.outcome == Outcome::kServed) counters_.UncountDelivered(request->request_class);
     Reopen(outcome.request_id, *request);
   }
 }
 
-void UpstreamCalls::OnRejectionDoubted(AcceptedRequest& request, const UnconfirmedOutcome& outcome) {
-  request.doubted_attempts.push_back(outcome.attempt);
-  if (request.IsOpen()) decisions_.Post(AttemptMayHaveRun{outcome.request_id, outcome.attempt});
+// The router may end the request over it.
+void UpstreamCalls::DoubtRejection(RequestId request_id, int attempt) {
+  AcceptedRequest* request = requests_.Find(request_id);
+  if (request == nullptr || request->ended) return;
+  request->doubted_attempts.push_back(attempt);
+  if (request->IsOpen()) decisions_.Post(AttemptMayHaveRun{request_id, attempt});
 }
 
 // What is known of the request's attempts, and what is still unconfirmed of them, passes to the new entry,
@@ -271,12 +274,8 @@
   requests_.RemoveIfDone(request_id);
   const RequestId successor = callbacks_.on_reopened(client_id);
   confirmation_.Reassign(request_id, successor, journal_attempts);
-  AcceptedRequest* reopened = requests_.Find(successor);
-  for (const int attempt : doubted_attempts) {
-    const int journal_attempt = journal_attempts[static_cast<std::size_t>(attempt)];
-    if (reopened != nullptr) reopened->doubted_attempts.push_back(journal_attempt);
-    decisions_.Post(AttemptMayHaveRun{successor, journal_attempt});
-  }
+  for (const int attempt : doubted_attempts)
+    DoubtRejection(successor, journal_attempts[static_cast<std::size_t>(attempt)]);
 }
 
 void UpstreamCalls::OnUnmatchedRetryAfter(EndpointId id, Seconds retry_after) {
--- a/src/relay/upstream_calls.h
+++ b/src/relay/upstream_calls.h
@@ -62,7 +62,7 @@
   void OnConfirmed(const UnconfirmedOutcome& outcome) override;
   void OnDoubted(const UnconfirmedOutcome& outcome, DoubtCause cause) override;
   void OnUnmatchedRetryAfter(EndpointId endpoint, Seconds retry_after) override;
-  void OnRejectionDoubted(AcceptedRequest& request, const UnconfirmedOutcome& outcome);
+  void DoubtRejection(RequestId request_id, int attempt);
   void Reopen(RequestId request_id, AcceptedRequest& request);
   void RecordOutcome(AcceptedRequest& request, const AttemptOutcome& outcome);
   void HoldUntilConfirmed(const UpstreamCall& call, AcceptedRequest& request, const AttemptOutcome& outcome);
