A request is sent again only once its open calls are fewer than the settings allow

Where second copies are allowed, a third call at once was possible.

Cause: requests of a batch have time-outs of their own. When one timed out before another, its outcome was reported, but its call stayed open for the others, and the router counted only attempts without outcome.

Change: the outcome says that its call goes on (call_continues), AttemptClosed says when it has ended, and the router counts the open calls of a request. A request that may not be sent waits for a call's end.

Why this works: the count covers every call that has been written and not been closed, whatever ended the attempt: a time-out, a cancellation or a reclaimed slot. random_events_test counts open calls now.

--- a/include/opalroute/events.h
+++ b/include/opalroute/events.h
@@ -119,9 +119,18 @@
   Seconds duration{};     // since the attempt was sent
   Seconds retry_after{};  // of a rejection; 0: none
   bool request_ended{};   // the request has ended, through this attempt or earlier
+  // The call goes on for other requests of its batch, so the endpoint may still be serving this one until the
+  // attempt's AttemptClosed.
+  bool call_continues{};
   LoadReport load_report;
 };
 
+// The call of an attempt whose outcome came with `call_continues` has ended.
+struct AttemptClosed {
+  RequestId request_id{};
+  int attempt{};
+};
+
 // The outcome of an attempt had proved that it never ran, and has come into doubt: its response may have been
 // another request's.
 struct AttemptMayHaveRun {
@@ -202,9 +211,10 @@
 // endpoint can share a call.
 struct BatchEnd {};
 
-using Event = std::variant<ListUpdate, ListConfirmed, DiscoveryMoved, NewRequest, RecoveredRequest,
-                           RecoveredRouteHealth, AttemptOutcome, AttemptMayHaveRun, ResponseStarted,
-                           HealthCheckOutcome, RequestAborted, GossipReceived, TransferredState, FleetSize,
-                           ZoneTrafficShare, TimerFired, ShutdownStarted, BatchEnd>;
+using Event =
+    std::variant<ListUpdate, ListConfirmed, DiscoveryMoved, NewRequest, RecoveredRequest,
+                 RecoveredRouteHealth, AttemptOutcome, AttemptClosed, AttemptMayHaveRun, ResponseStarted,
+                 HealthCheckOutcome, RequestAborted, GossipReceived, TransferredState, FleetSize,
+                 ZoneTrafficShare, TimerFired, ShutdownStarted, BatchEnd>;
 
 }  // namespace opalroute
--- a/src/decision/attempt_outcome_handler.cpp
+++ b/src/decision/attempt_outcome_handler.cpp
@@ -29,6 +29,7 @@
   Attempt& attempt = request->attempts[outcome.attempt];
   if (!std::exchange(attempt.in_flight, false)) return;
   attempt.may_have_run = !ProvesNeverRan(outcome.outcome);
+  attempt.call_continues = outcome.call_continues;
   if (outcome.outcome == Outcome::kLocalShortage) ++request->local_shortages;
   --request->attempts_in_flight;
   Call& call = calls_.At(attempt.call);
--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -1,6 +1,7 @@
 // Requests that the router knows, and their attempts.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <tuple>
@@ -22,6 +23,7 @@
   bool in_flight = true;
   bool cancelled = false;  // the outcome is still pending
   bool may_have_run = false;
+  bool call_continues = false;  // it has its outcome, but its call is still open for other requests
 
   bool MayRunOrHaveRun() const { return in_flight || may_have_run; }
 };
@@ -78,6 +80,12 @@
 
   // Attempts that count against Settings::max_attempts.
   int AttemptsUsed() const { return static_cast<int>(attempts.size()) - local_shortages; }
+  // Calls with this request that are open at endpoints.
+  int OpenCalls() const {
+    return static_cast<int>(std::count_if(attempts.begin(), attempts.end(), [](const Attempt& attempt) {
+      return attempt.in_flight || attempt.call_continues;
+    }));
+  }
   // A recovered request is not shed before its first attempt, however many new requests arrive.
   bool MayBeShed() const { return !recovered || !attempts.empty(); }
 };
--- a/src/decision/request_lifecycle.cpp
+++ b/src/decision/request_lifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "decision/outcome.h"
 
@@ -116,6 +117,16 @@
   }
 }
 
+void RequestLifecycle::OnAttemptClosed(const AttemptClosed& closed) {
+  Request* request = requests_.Find(closed.request_id);
+  if (request == nullptr || request->ended) return;
+  if (closed.attempt < 0 || closed.attempt >= static_cast<int>(request->attempts.size())) return;
+  if (!std::exchange(request->attempts[closed.attempt].call_continues, false)) return;
+  const bool was_waiting_for_it =
+      request->phase == RequestPhase::kNotQueued && request->attempts_in_flight == 0;
+  if (was_waiting_for_it) Retry(*request, Outcome::kTimeout);
+}
+
 void RequestLifecycle::OnAttemptMayHaveRun(const AttemptMayHaveRun& doubt) {
   Request* request = requests_.Find(doubt.request_id);
   if (request == nullptr || request->ended) return;
@@ -127,6 +138,8 @@
 }
 
 void RequestLifecycle::Retry(Request& request, Outcome last) {
+  // An open call may still serve the request, so it is not given up before its deadline.
+  if (!retry_policy_.MayOpenAnotherCall(request)) return timers_.SetExpiry(request, request.deadline);
   if (!retry_policy_.MayRetry(request)) return RejectOrFail(request);
   if (IsRetriedImmediately(last)) return Enqueue(request);
   timers_.Delay(request, retry_policy_.RandomBackoffEnd(request, last));
--- a/src/decision/request_lifecycle.h
+++ b/src/decision/request_lifecycle.h
@@ -32,6 +32,9 @@
   // An attempt has its outcome; `request_ended`: the request has ended, and the router must not answer it.
   void OnAttemptEnded(Request& request, Outcome outcome, bool request_ended);
 
+  // The call of an attempt that already had its outcome has ended. Retries a request that had to wait for it.
+  void OnAttemptClosed(const AttemptClosed& closed);
+
   // Further attempts are restricted as if the attempt had ended without a proof that it never ran.
   void OnAttemptMayHaveRun(const AttemptMayHaveRun& doubt);
 
--- a/src/decision/request_router.cpp
+++ b/src/decision/request_router.cpp
@@ -91,6 +91,7 @@
   void Handle(const RequestAborted& aborted) { lifecycle_.Abort(aborted.request_id); }
   void Handle(const ResponseStarted& started) { lifecycle_.OnResponseStarted(started.request_id); }
   void Handle(const AttemptOutcome& outcome) { outcomes_.Handle(outcome); }
+  void Handle(const AttemptClosed& closed) { lifecycle_.OnAttemptClosed(closed); }
   void Handle(const AttemptMayHaveRun& doubt) { lifecycle_.OnAttemptMayHaveRun(doubt); }
   void Handle(const HealthCheckOutcome& outcome) { health_checker_.OnOutcome(outcome); }
 
--- a/src/decision/retry_policy.cpp
+++ b/src/decision/retry_policy.cpp
@@ -11,6 +11,7 @@
 constexpr int kMinServiceTicks = 2;             // ticks: least time reserved for serving a request
 constexpr double kMaxTimeoutShare = 0.4;        // of a deadline: leaves time for another attempt
 constexpr double kMinShortageBackoffTicks = 8;  // ticks: least base of the backoff after a local shortage
+constexpr int kMaxHedgedCalls = 2;              // calls at once with one request, if it may be hedged
 constexpr int kMaxBackoffExponent = 5;
 constexpr int kBackoffExponentOffset = 3;  // makes the first backoffs shorter than the expected latency
 
@@ -96,6 +97,10 @@
   return context_.now < request.deadline - kMinServiceTicks * context_.settings.tick && Bounds(request);
 }
 
+bool RetryPolicy::MayOpenAnotherCall(const Request& request) const {
+  return request.OpenCalls() < (context_.settings.may_hedge ? kMaxHedgedCalls : 1);
+}
+
 Seconds RetryPolicy::RandomBackoffEnd(const Request& request, Outcome last) {
   const Settings& settings = context_.settings;
   const Seconds shortage = last == Outcome::kLocalShortage ? kMinShortageBackoffTicks * settings.tick : 0;
--- a/src/decision/retry_policy.h
+++ b/src/decision/retry_policy.h
@@ -43,6 +43,8 @@
   bool RequiresNewConnection(const Request& request) const;
   // Whether there is time for a retry after an attempt has ended.
   bool MayRetry(const Request& request) const;
+  // Whether one more call may carry the request now, while earlier ones are open at endpoints.
+  bool MayOpenAnotherCall(const Request& request) const;
   // The end of the backoff before the next attempt, with random jitter.
   Seconds RandomBackoffEnd(const Request& request, Outcome last);
   // When an attempt that is sent now times out, in a call with this BatchLatencyFactor(). 0: it has no
--- a/src/relay/upstream_calls.cpp
+++ b/src/relay/upstream_calls.cpp
@@ -343,6 +343,9 @@
   if (it == calls_.end()) return;
   --endpoints_.At(call.endpoint()).calls_in_flight;
   confirmation_.OnCallEnded(call.exchange().connection);
+  for (const UpstreamCall::Attempt& attempt : call.attempts()) {
+    if (attempt.call_continues) decisions_.Post(AttemptClosed{attempt.request_id, attempt.number});
+  }
   loop_.Retire(std::move(it->second));
   calls_.erase(it);
   callbacks_.on_call_ended();
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -60,6 +60,7 @@
   const bool last = PendingAttempts().size() == 1;
   const auto state = last ? client_.Abandon(*this) : HttpClient::CallProgress{send_started_, 0};
   const bool served = state.status == kHttpOk && !is_batch_;
+  attempt.call_continues = !last && send_started_;
   const Outcome outcome = state.written ? if_written : if_not_written;
   if (last && state.written && !served && outcome == Outcome::kTimeout) owner_.OnUnanswered(*this);
   if (served) {
@@ -191,6 +192,7 @@
   outcome.duration = loop_.Now() - started_;
   outcome.retry_after = result.outcome == Outcome::kRejected ? retry_after : 0;
   outcome.request_ended = result.request_ended || result.outcome == Outcome::kServed;
+  outcome.call_continues = attempt.call_continues;
   outcome.load_report = report_;
   owner_.OnOutcome(*this, attempt, outcome, pairing);
 }
--- a/src/upstream/upstream_call.h
+++ b/src/upstream/upstream_call.h
@@ -30,7 +30,8 @@
     Seconds timeout_at = 0;
     Seconds send_deadline = 0;  // must not be sent at or after this time
     bool requires_new_connection = false;
-    bool pending = true;  // no outcome yet
+    bool pending = true;          // no outcome yet
+    bool call_continues = false;  // it has its outcome, but the call went on for other attempts
     net::EventLoop::TimerId timer = 0;
   };
 
--- a/tests/decision/hedging_test.cpp
+++ b/tests/decision/hedging_test.cpp
@@ -78,5 +78,68 @@
   EXPECT_EQ(SendsFor(50).size(), 1U);
 }
 
+// A request times out while its call goes on for another request of its batch. Until that call has ended, the
+// endpoint may be serving the request.
+class ContinuingCallTest : public RouterTest {
+ protected:
+  void StartWith(bool may_hedge) {
+    Settings settings = TestSettings();
+    settings.may_hedge = may_hedge;
+    Start(settings);
+    UpdateList({MakeEndpoint(1, 1), MakeEndpoint(2, 1)});
+    Receive(1, kIdempotentClass);
+    EndBatch();
+    ASSERT_EQ(SendsFor(1).size(), 1U);
+  }
+  void TimeOutWhileTheCallContinues(int attempt) {
+    AttemptOutcome outcome;
+    outcome.request_id = 1;
+    outcome.attempt = attempt;
+    outcome.endpoint = SendsFor(1)[attempt].endpoint;
+    outcome.outcome = Outcome::kTimeout;
+    outcome.duration = 1;
+    outcome.call_continues = true;
+    now_ += 1;
+    Handle(outcome);
+    RunUntil(now_ + 1);
+  }
+};
+
+// Guards against two calls at once where that is not allowed.
+TEST_F(ContinuingCallTest, WithoutHedgingTheRetryWaitsForTheEndOfTheCall) {
+  StartWith(false);
+  TimeOutWhileTheCallContinues(0);
+  EXPECT_EQ(SendsFor(1).size(), 1U);
+  Handle(AttemptClosed{1, 0});
+  RunUntil(now_ + 10);
+  EXPECT_EQ(SendsFor(1).size(), 2U);
+}
+
+// Guards against three calls at once.
+TEST_F(ContinuingCallTest, WithHedgingASecondCallIsAllowedAndAThirdIsNot) {
+  StartWith(true);
+  TimeOutWhileTheCallContinues(0);
+  ASSERT_EQ(SendsFor(1).size(), 2U);
+  TimeOutWhileTheCallContinues(1);
+  EXPECT_EQ(SendsFor(1).size(), 2U);
+  Handle(AttemptClosed{1, 1});
+  Handle(AttemptClosed{1, 1});
+  RunUntil(now_ + 1);
+  EXPECT_EQ(SendsFor(1).size(), 3U);
+}
+
+TEST_F(ContinuingCallTest, ARequestThatWaitsForTheEndOfItsCallEndsOnceAtItsDeadline) {
+  StartWith(false);
+  const Seconds deadline = now_ + 20;
+  TimeOutWhileTheCallContinues(0);
+  RunUntil(deadline - 0.02);
+  EXPECT_TRUE(Emitted<Reject>().empty());
+  RunUntil(deadline + 0.02);
+  EXPECT_EQ(Emitted<Reject>().size(), 1U);
+  Handle(AttemptClosed{1, 0});
+  RunUntil(now_ + 10);
+  EXPECT_EQ(SendsFor(1).size(), 1U);
+}
+
 }  // namespace
 }  // namespace opalroute::decision
--- a/tests/decision/random_events_test.cpp
+++ b/tests/decision/random_events_test.cpp
@@ -17,6 +17,7 @@
     bool in_flight;
     bool may_have_run;
     Seconds timeout_at;
+    bool call_continues = false;  // it timed out, but its call is still open for other requests
   };
   struct RequestRecord {
     int request_class;
@@ -57,6 +58,10 @@
       ASSERT_TRUE(!request.attempts.empty() || now_ + 1e-9 >= key_paused_until_[request.key])
           << "rule 6: sent during a pause of its key";
     }
+    const auto open_calls = std::count_if(
+        request.attempts.begin(), request.attempts.end(),
+        [](const AttemptRecord& attempt) { return attempt.in_flight || attempt.call_continues; });
+    ASSERT_LT(open_calls, max_open_calls_) << "rule 2: more calls at once than allowed";
     request.attempts.push_back(
         {send.endpoint, now_, true, false, send.timeout_at > 0 ? send.timeout_at : request.deadline});
   }
@@ -89,6 +94,11 @@
     RequestRecord& request = requests_.at(id);
     for (std::size_t i = 0; i < request.attempts.size(); ++i) {
       AttemptRecord& attempt = request.attempts[i];
+      if (attempt.call_continues && random() % 50 == 0) {
+        attempt.call_continues = false;
+        Handle(AttemptClosed{id, static_cast<int>(i)});
+        return;
+      }
       if (!attempt.in_flight) continue;
       const bool timed_out = now_ >= attempt.timeout_at - 1e-9;
       if (!timed_out && random() % 20 != 0) continue;
@@ -113,6 +123,7 @@
         new_retry_after_.push_back({request.destination, now_ + outcome.retry_after});
       if (outcome.outcome == Outcome::kServed) request.ended = true;
       outcome.request_ended = request.ended;
+      outcome.call_continues = attempt.call_continues = timed_out && random() % 2 == 0;
       Handle(outcome);
       return;
     }
@@ -125,12 +136,14 @@
   std::vector<std::pair<DestinationId, Seconds>> new_retry_after_;
   std::map<EndpointId, Seconds> draining_;
   std::size_t checked_ = 0;
+  int max_open_calls_ = 1;  // with one request
 };
 
 TEST_P(RandomEventsTest, DeliveryRulesHoldAtEveryStep) {
   std::mt19937_64 random(static_cast<std::uint64_t>(GetParam()));
   Settings s = TestSettings();
   s.may_hedge = GetParam() % 2 == 0;
+  max_open_calls_ = s.may_hedge ? 2 : 1;
   Start(s);
   std::vector<ListedEndpoint> entries;
   for (EndpointId id = 4; id < 16; ++id) entries.push_back(MakeEndpoint(id, DestinationOf(id), ZoneOf(id)));
