Socket fault tests build on arm64: poll is replaced through ppoll

Cause: the test's replacement of poll used SYS_poll, a system call that arm64 does not have, so no test of the project built there. Change: it makes SYS_ppoll, which both machines have, with the timeout as a timespec (without one for a negative timeout).

--- a/tests/net/socket_faults_test.cpp
+++ b/tests/net/socket_faults_test.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <ctime>
 #include <memory>
 #include <string>
 #include <vector>
@@ -68,7 +69,11 @@
   return ShouldFail(Call::kAccept) ? -1 : static_cast<int>(RealCall(SYS_accept4, fd, address, size, flags));
 }
 int poll(pollfd* fds, nfds_t count, int milliseconds) {
-  return ShouldFail(Call::kPoll) ? -1 : static_cast<int>(RealCall(SYS_poll, fds, count, milliseconds));
+  if (ShouldFail(Call::kPoll)) return -1;
+  timespec timeout{milliseconds / 1000, milliseconds % 1000 * 1'000'000L};
+  timespec* const limit = milliseconds < 0 ? nullptr : &timeout;  // null: waits without a limit
+  constexpr std::size_t kSignalSetBytes = 8;
+  return static_cast<int>(RealCall(SYS_ppoll, fds, count, limit, nullptr, kSignalSetBytes));
 }
 int epoll_wait(int epoll, epoll_event* events, int most, int milliseconds) {
   if (ShouldFail(Call::kEpollWait)) return -1;
