The order of random draws after a rejection no longer depends on the compiler

Callers saw: relays on arm64 and on x86-64 make other decisions from the same events; compatibility_drill_fleet fails on arm64 at line 1122. Cause: RateLimiter::OnRejected drew two random numbers as two arguments of std::max, whose order is unspecified; g++ evaluates them from the right on x86-64 and from the left on arm64, so backoffs differ (0.239 s and 0.975 s at 14.215 s of the recording). Ruled out before by the issue: fused multiply-add, sign of char; here: conversions of doubles (UBSan, float-cast-overflow: none). Change: the draws are statements, in the order recorded on x86-64. All other draws in src/ were read: one a statement.

--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -70,8 +70,9 @@
                limit_ > 0 ? kMinFirstBackoffCalls / limit_ : 0);
   const Seconds backoff =
       std::min(settings.slow_start_duration, first * std::exp2(consecutive_rejections_++));
-  const Seconds delay =
-      std::max(backoff * context.random.JitterFactor(), spread > 0 ? spread * context.random.Uniform() : 0);
+  // One draw a statement: within an expression compilers for other machines draw in another order.
+  const Seconds spread_delay = spread > 0 ? spread * context.random.Uniform() : 0;
+  const Seconds delay = std::max(backoff * context.random.JitterFactor(), spread_delay);
   backoff_until_ = std::max(backoff_until_, std::max(context.now, retry_after_until_) + delay);
 }
 
