--- a/lab/result.h
+++ b/lab/result.h
@@ -62,7 +62,8 @@
 struct ProcessSample {
   Seconds at = 0;
   long rss_kb = 0, descriptors = 0;
-  Seconds cpu = 0;  // used by this process so far; restarts begin at 0
+  long peak_rss_kb = 0;  // since the process started (VmHWM)
+  Seconds cpu = 0;       // used by this process so far; restarts begin at 0
 };
 struct Crash {
   int relay = -1;
--- a/lab/sockets/process.cpp
+++ b/lab/sockets/process.cpp
@@ -112,6 +112,22 @@
   return newline == std::string::npos ? text : text.substr(newline + 1);
 }
 
+namespace {
+
+// The value of a field of /proc/PID/status, in kB; 0 if there is none.
+long ReadStatusKilobytes(const std::string& proc_folder, const std::string& field) {
+  std::ifstream status(proc_folder + "/status");
+  std::string name;
+  long value = 0;
+  while (status >> name) {
+    if (name == field + ":" && status >> value) return value;
+    std::getline(status, name);
+  }
+  return 0;
+}
+
+}  // namespace
+
 std::optional<ProcessSample> ReadProcessSample(pid_t pid) {
   ProcessSample sample;
   const std::string folder = "/proc/" + std::to_string(pid);
@@ -120,6 +136,7 @@
   // A zombie still has a statm file, with all values 0 (proc(5)).
   if (!(memory >> pages >> resident) || resident == 0) return std::nullopt;
   sample.rss_kb = resident * (sysconf(_SC_PAGESIZE) / 1024);
+  sample.peak_rss_kb = ReadStatusKilobytes(folder, "VmHWM");
   std::ifstream stat(folder + "/stat");
   std::string text;
   std::getline(stat, text);
--- a/tests/support/fake_discovery.h
+++ b/tests/support/fake_discovery.h
@@ -59,6 +59,11 @@
     is_draining_ = true;
     for (const auto& [key, session] : sessions_.all()) session->SendList();
   }
+  // Sends `line`, a list or changes to it, on the open watches. Later watches begin with `complete_list`.
+  void Publish(const std::string& line, std::string complete_list) {
+    published_list_ = std::move(complete_list);
+    for (const auto& [key, session] : sessions_.all()) session->SendLine(line);
+  }
   // When a list with the draining endpoint was first sent to the relay; negative: not yet.
   net::Seconds drain_sent_at() const { return drain_sent_at_; }
   int calls() const { return calls_; }  // number of watch requests
@@ -88,6 +93,9 @@
     void OnClosed(net::Connection&, net::Connection::CloseReason) override {
       service_.sessions_.Remove(*this);
     }
+    void SendLine(const std::string& line) {
+      if (is_watch_ && !is_silenced()) WriteChunk(line + "\n");
+    }
     void SendList() {
       if (!is_watch_ || is_silenced()) return;
       WriteChunk(service_.ListJson() + "\n");
@@ -152,6 +160,7 @@
            (is_draining ? "draining" : "ready") + "\",\"weight\":1000,\"startedAtMs\":0}";
   }
   std::string ListJson() const {
+    if (!published_list_.empty()) return published_list_;
     return "{\"generation\":" + std::to_string(is_draining_ ? 43 : 42) + ",\"reset\":true,\"instances\":[" +
            EndpointJson("first", first_, is_draining_) + "," + EndpointJson("second", second_, false) + "]}";
   }
@@ -159,6 +168,7 @@
   net::EventLoop& loop_;
   const std::string first_, second_;
   const ChooseReply choose_reply_;
+  std::string published_list_;  // empty: the list of the two endpoints
   bool is_draining_ = false;
   int last_session_ = 0, first_unsilenced_session_ = 0, calls_ = 0;
   net::Seconds drain_sent_at_ = -1;
