--- a/lab/dns/fake_name_server.cpp
+++ b/lab/dns/fake_name_server.cpp
@@ -24,7 +24,8 @@
  public:
   explicit Session(FakeNameServer& server) : server_(server) {}
   bool Open(int fd) {
-    connection_ = net::Connection::Adopt(server_.loop_, fd, *this, 2 * kMaxMessageSize, 4 * kMaxMessageSize);
+    connection_ =
+        net::Connection::Adopt(server_.loop_, fd, *this, {2 * kMaxMessageSize, 4 * kMaxMessageSize});
     return connection_ != nullptr;
   }
   void Close() { connection_->Close(); }
--- a/lab/fake_partner.cpp
+++ b/lab/fake_partner.cpp
@@ -21,7 +21,7 @@
   ~Session() override { partner_.loop_.Cancel(timer_); }
 
   bool Open(int fd) {
-    connection_ = net::Connection::Adopt(partner_.loop_, fd, *this, 128 * 1024, 16 * 1024);
+    connection_ = net::Connection::Adopt(partner_.loop_, fd, *this, {128 * 1024, 16 * 1024});
     return connection_ != nullptr;
   }
   void Close() {
--- a/lab/sockets/endpoints.cpp
+++ b/lab/sockets/endpoints.cpp
@@ -61,7 +61,7 @@
 
   bool Open(int fd) {
     fd_ = fd;
-    connection_ = net::Connection::Adopt(owner_.loop_, fd, *this, 2 << 20, 1 << 20);
+    connection_ = net::Connection::Adopt(owner_.loop_, fd, *this, {2 << 20, 1 << 20});
     return connection_ != nullptr;
   }
   EndpointId endpoint() const { return endpoint_; }
--- a/lab/sockets/hostile_clients.cpp
+++ b/lab/sockets/hostile_clients.cpp
@@ -61,7 +61,7 @@
   ~Client() override { loop_.Cancel(timer_); }  // `owner_` may already be destroyed
 
   bool Open() {
-    connection_ = Connection::Connect(loop_, owner_.relay_, *this, kBufferBytes, kBufferBytes);
+    connection_ = Connection::Connect(loop_, owner_.relay_, *this, {kBufferBytes, kBufferBytes});
     return connection_ != nullptr;
   }
   void Close() {
--- a/lab/sockets/platform_server.cpp
+++ b/lab/sockets/platform_server.cpp
@@ -48,7 +48,7 @@
   ~Session() override { CancelTimers(); }
 
   bool Open(int fd) {
-    connection_ = net::Connection::Adopt(server_.loop_, fd, *this, 128 * 1024, kMaxOutputBytes);
+    connection_ = net::Connection::Adopt(server_.loop_, fd, *this, {128 * 1024, kMaxOutputBytes});
     return connection_ != nullptr;
   }
   int relay() const { return relay_; }
--- a/lab/sockets/stalling_clients.cpp
+++ b/lab/sockets/stalling_clients.cpp
@@ -34,7 +34,7 @@
   ~Client() override { loop_.Cancel(timer_); }  // `owner_` may already be destroyed
 
   bool Open(const sockaddr_in& address) {
-    connection_ = Connection::Connect(owner_.loop_, address, *this, kBufferBytes, kBufferBytes);
+    connection_ = Connection::Connect(owner_.loop_, address, *this, {kBufferBytes, kBufferBytes});
     return connection_ != nullptr;
   }
 
--- a/lab/sockets/unwatched_connection.cpp
+++ b/lab/sockets/unwatched_connection.cpp
@@ -30,7 +30,7 @@
 void UnwatchedConnection::Watch(net::EventLoop& loop, net::HttpClient::Call& call) {
   call_ = &call;
   connection_ = Connection::Adopt(loop, std::exchange(fd_, -1), *this,
-                                  kBounds.head_bytes + kBounds.body_bytes, kBounds.head_bytes);
+                                  {kBounds.head_bytes + kBounds.body_bytes, kBounds.head_bytes});
   if (!connection_) ReportFailure();
 }
 
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-net::ServerBounds BoundsOf(const Limits& limits) {
-  net::ServerBounds bounds = ServerBoundsOf(limits);
+net::ServerBounds BoundsOf(const Limits& limits, net::MemoryBudget* memory) {
+  net::ServerBounds bounds = ServerBoundsOf(limits, memory, net::MemoryOwner::kOperators);
   bounds.http.body_bytes = limits.identifier_bytes;
   bounds.response_bytes = limits.admin_response_bytes;
   bounds.connections = limits.admin_connections;
@@ -30,11 +30,11 @@
 
 }  // namespace
 
-AdminServer::AdminServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages,
-                         Commands commands)
+AdminServer::AdminServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits,
+                         net::MemoryBudget* memory, Pages pages, Commands commands)
     : pages_(std::move(pages)),
       commands_(std::move(commands)),
-      http_(loop, listen, BoundsOf(limits), *this) {}
+      http_(loop, listen, BoundsOf(limits, memory), *this) {}
 
 net::HttpResponse AdminServer::OnRequest(net::HttpMessage& request) {
   const std::string path = request.target.substr(0, request.target.find('?'));
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -26,8 +26,8 @@
   using Commands = std::vector<Command>;
 
   // Throws std::system_error if it can't listen on the address.
-  AdminServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits, Pages pages,
-              Commands commands = {});
+  AdminServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits,
+              net::MemoryBudget* memory, Pages pages, Commands commands = {});
   sockaddr_in address() const { return http_.address(); }
 
  private:
--- a/src/admin/operations_server.cpp
+++ b/src/admin/operations_server.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-net::ServerBounds BoundsOf(const Limits& limits) {
+net::ServerBounds BoundsOf(const Limits& limits, net::MemoryBudget* memory) {
   net::ServerBounds bounds;
   bounds.http = {limits.head_bytes, limits.header_count, limits.identifier_bytes};
   bounds.response_bytes = limits.ops_response_bytes;
@@ -16,6 +16,8 @@
   bounds.silent_timeout = limits.client_silent_timeout;
   bounds.linger_timeout = limits.ops_linger_timeout;
   bounds.linger_bytes = limits.head_bytes;
+  bounds.memory = memory;
+  bounds.memory_owner = net::MemoryOwner::kOperators;
   return bounds;
 }
 
@@ -29,8 +31,8 @@
 }  // namespace
 
 OperationsServer::OperationsServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits,
-                                   OperationsHandler& handler)
-    : handler_(handler), http_(loop, listen, BoundsOf(limits), *this) {
+                                   net::MemoryBudget* memory, OperationsHandler& handler)
+    : handler_(handler), http_(loop, listen, BoundsOf(limits, memory), *this) {
   http_.CloseAfterResponses();
 }
 
--- a/src/admin/operations_server.h
+++ b/src/admin/operations_server.h
@@ -33,7 +33,7 @@
  public:
   // `handler` must outlive the server. Throws std::system_error if it can't listen on the address.
   OperationsServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits,
-                   OperationsHandler& handler);
+                   net::MemoryBudget* memory, OperationsHandler& handler);
   sockaddr_in address() const { return http_.address(); }
 
  private:
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string_view>
 
+#include "config/memory_limits.h"
 #include "config/settings.h"
 #include "net/address.h"
 
@@ -24,6 +25,9 @@
 
 namespace {
 
+constexpr double kBytesPerMegabyte = 1e6;
+constexpr double kDefaultMemoryMegabytes = 192;  // where `limits.memory_mb` is missing
+
 sockaddr_in ParseAddressKey(const std::string& text, const char* key) {
   const auto address = net::ParseAddress(text);
   if (!address)
@@ -63,10 +67,13 @@
 
 void FillLimits(const json& file, Config& config) {
   Limits& limits = config.limits;
+  double memory_mb = kDefaultMemoryMegabytes;
   if (const json* given = Find(file, "limits")) {
+    memory_mb = GetOr(*given, "memory_mb", memory_mb);
+    if (memory_mb <= 0) throw FieldError("key 'limits.memory_mb' must be greater than 0");
     const auto disk_mb = GetOr(*given, "disk_mb", 3.0);
     if (disk_mb <= 0) throw FieldError("key 'limits.disk_mb' must be greater than 0");
-    limits.disk_bytes = static_cast<std::size_t>(disk_mb * 1e6);
+    limits.disk_bytes = static_cast<std::size_t>(disk_mb * kBytesPerMegabyte);
     const auto sockets = GetOr(*given, "sockets", 1024);
     if (sockets < 64) throw FieldError("key 'limits.sockets' must be at least 64");
     // Of each 32 descriptors 15 are for clients, 1 is for clients that only get a reject, and 12 are for
@@ -80,6 +87,7 @@
       limits.client_connections -= limits.ops_connections;
     }
   }
+  ApplyMemoryLimit(static_cast<std::size_t>(memory_mb * kBytesPerMegabyte), limits);
   const json& settings = Require(file, "settings");
   const json& platform_limits = Require(settings, "limits");
   limits.upstream_connect_timeout = GetOr(platform_limits, "dialTimeoutS", limits.upstream_connect_timeout);
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -5,6 +5,15 @@
 
 namespace opalroute {
 
+// Shares of the memory that buffers of variable size may hold, in bytes (net/memory_budget.h).
+struct MemoryLimits {
+  std::size_t clients = 0;
+  std::size_t requests = 0;
+  std::size_t endpoints = 0;
+  std::size_t discovery = 0;
+  std::size_t operators = 0;
+};
+
 struct Limits {
   // HTTP messages
   std::size_t head_bytes = std::size_t{16} * 1024;
@@ -14,6 +23,7 @@
   std::size_t identifier_bytes = 256;                              // of a request id or an idempotency key
   // Connections of clients, and to endpoints ("upstream")
   int client_connections = 480;
+  std::size_t client_socket_send_bytes = std::size_t{16} * 1024;
   int reject_connections = 32;  // beyond those, accepted only to be answered with a reject
   int upstream_connections = 400;
   double first_request_timeout = 2;          // from accepting a connection to the end of its first request
@@ -23,6 +33,8 @@
   // Once all connections are in use, one that has sent no request for this long since it was accepted may be
   // closed to make room.
   double client_silent_timeout = 0.05;
+  // The same for one whose request makes progress, but has not ended so long after its first byte.
+  double client_slow_request_time = 0.25;
   double client_linger_timeout = 0.5;  // after the last response, for the client to read it
   std::size_t client_linger_bytes = std::size_t{1024} * 1024;  // input discarded in that time
   int requests_per_turn = 16;                    // of one connection, before other connections are served
@@ -41,6 +53,9 @@
   double reuse_suspension = 60;
   // The same for an endpoint with an outcome that has come into doubt otherwise.
   double doubt_reuse_suspension = 5;
+  // Memory
+  MemoryLimits memory;            // set from the memory that the process may use
+  bool memory_is_scarce = false;  // it may use less than the program and its files need
   // Requests
   int open_requests = 0;            // set from Settings::request_capacity
   double reject_retry_after = 0.5;  // the Retry-After of a request or connection rejected on arrival
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -9,8 +9,8 @@
 namespace opalroute {
 
 DiscoveryClient::DiscoveryClient(net::EventLoop& loop, const sockaddr_in& address, const Limits& limits,
-                                 Listener& listener)
-    : loop_(loop), address_(address), limits_(limits), listener_(listener) {}
+                                 net::MemoryBudget* memory, Listener& listener)
+    : loop_(loop), address_(address), limits_(limits), memory_(memory), listener_(listener) {}
 
 DiscoveryClient::~DiscoveryClient() { CloseWatchesExcept(nullptr); }
 
@@ -21,7 +21,7 @@
                                            {"since", resume_from_.value_or(0)},
                                            {"other_watches", watches_.size()}});
   ListWatch::Handler& handler = *this;
-  watches_.push_back(std::make_unique<ListWatch>(loop_, address_, resume_from_, limits_, handler));
+  watches_.push_back(std::make_unique<ListWatch>(loop_, address_, resume_from_, limits_, memory_, handler));
 }
 
 void DiscoveryClient::SetAddress(const sockaddr_in& address) {
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -17,8 +17,10 @@
 
 class DiscoveryClient : public EndpointSource, private ListWatch::Handler {
  public:
-  // `loop`, `limits` and `listener` must outlive this object.
-  DiscoveryClient(net::EventLoop& loop, const sockaddr_in& address, const Limits& limits, Listener& listener);
+  // `loop`, `limits`, `memory` and `listener` must outlive this object. `memory` may be null: what the
+  // watches hold is not counted then.
+  DiscoveryClient(net::EventLoop& loop, const sockaddr_in& address, const Limits& limits,
+                  net::MemoryBudget* memory, Listener& listener);
 
   ~DiscoveryClient() override;
 
@@ -44,6 +46,7 @@
   net::EventLoop& loop_;
   sockaddr_in address_;
   const Limits& limits_;
+  net::MemoryBudget* const memory_;
   Listener& listener_;
   std::optional<long long> generation_;              // of the list published last
   std::optional<long long> newest_generation_;       // the newest ever published; older lists are stale
--- a/src/discovery/list_watch.cpp
+++ b/src/discovery/list_watch.cpp
@@ -51,7 +51,7 @@
 }
 
 ListWatch::ListWatch(net::EventLoop& loop, const sockaddr_in& address, std::optional<long long> since,
-                     const Limits& limits, Handler& handler)
+                     const Limits& limits, net::MemoryBudget* memory, Handler& handler)
     : loop_(loop),
       address_(address),
       since_(since),
@@ -60,7 +60,9 @@
       parser_(net::HttpParser::Kind::kResponse, BoundsOf(limits)),
       timer_(loop) {
   parser_.StreamBodyTo([this](std::string_view chunk) { ReadChunk(chunk); });
-  connection_ = net::Connection::Connect(loop_, address_, *this, limits_.head_bytes, limits_.head_bytes);
+  const net::ConnectionBounds bounds{limits_.head_bytes, limits_.head_bytes, 0, memory,
+                                     net::MemoryOwner::kDiscovery};
+  connection_ = net::Connection::Connect(loop_, address_, *this, bounds);
   StartLineTimeout(connection_ ? limits_.platform_response_timeout : 0);
 }
 
--- a/src/discovery/list_watch.h
+++ b/src/discovery/list_watch.h
@@ -42,9 +42,9 @@
 
   // Requests the changes after generation `since`, or the complete list without one, from discovery at
   // `address`. OnWatchEnded reports a failure to connect, in a later iteration of the event loop. `loop`,
-  // `limits` and `handler` must outlive the watch.
+  // `limits`, `memory` and `handler` must outlive the watch. `memory` may be null.
   ListWatch(net::EventLoop& loop, const sockaddr_in& address, std::optional<long long> since,
-            const Limits& limits, Handler& handler);
+            const Limits& limits, net::MemoryBudget* memory, Handler& handler);
   ~ListWatch() override;
   // No callback follows.
   void Close();
@@ -54,6 +54,7 @@
   void OnOpen(net::Connection& connection) override;
   void OnData(net::Connection& connection) override;
   void OnClosed(net::Connection& connection, net::Connection::CloseReason how) override;
+  std::size_t HeldBytes() const override { return parser_.HeldBytes() + object_text_.capacity(); }
 
   void ReadChunk(std::string_view chunk);
   void ReadLine();
--- a/src/dns/tcp_channel.cpp
+++ b/src/dns/tcp_channel.cpp
@@ -25,8 +25,8 @@
   loop_.Cancel(idle_timer_);
   pending_[id] = std::move(done);
   if (connection_ == nullptr) {
-    connection_ = net::Connection::Connect(loop_, server_, *this, limits_.dns_tcp_buffer_bytes,
-                                           limits_.dns_tcp_buffer_bytes);
+    connection_ = net::Connection::Connect(loop_, server_, *this,
+                                           {limits_.dns_tcp_buffer_bytes, limits_.dns_tcp_buffer_bytes});
   }
   const std::string length = {static_cast<char>(query.size() >> 8), static_cast<char>(query.size() & 0xff)};
   if (connection_ != nullptr && connection_->Write(length + query)) return;
--- a/src/ingress/request_listener.cpp
+++ b/src/ingress/request_listener.cpp
@@ -38,17 +38,25 @@
   return found == 1;
 }
 
+net::ServerBounds ClientServerBounds(const Limits& limits, net::MemoryBudget& memory) {
+  net::ServerBounds bounds = ServerBoundsOf(limits, &memory, net::MemoryOwner::kClients);
+  bounds.socket_send_bytes = limits.client_socket_send_bytes;
+  return bounds;
+}
+
 }  // namespace
 
 RequestListener::RequestListener(net::EventLoop& loop, const Config& config, Counters& counters,
-                                 RequestHandler& handler)
-    : config_(config),
+                                 net::MemoryBudget& memory, RequestHandler& handler)
+    : loop_(loop),
+      config_(config),
       counters_(counters),
       handler_(handler),
+      limit_lines_(config.limits.request_log_lines),
       http_(loop,
             config.inherited_fd >= 0 ? net::InheritListener(config.inherited_fd)
                                      : net::OpenListener(config.listen),
-            ServerBoundsOf(config.limits), *this) {}
+            ClientServerBounds(config.limits, memory), *this) {}
 
 void RequestListener::OnReject(net::HttpMessage& request) {
   ClientRequest rejected;
@@ -56,6 +64,15 @@
   if (valid) ++counters_.ForClass(rejected.request_class).rejected;
 }
 
+void RequestListener::OnLimit(net::ServerLimit limit, std::size_t held_bytes) {
+  ++counters_.client_limits[static_cast<std::size_t>(limit)];
+  if (!limit_lines_.MayLog(static_cast<std::int64_t>(loop_.Now()))) return;
+  log::Info("client_limit", {{"limit", NameOf(limit)},
+                             {"held_bytes", held_bytes},
+                             {"connections", http_.connections()},
+                             {"suppressed", limit_lines_.TakeSuppressed()}});
+}
+
 net::HttpResponse RequestListener::OnRequest(net::HttpMessage& request) {
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == "/api")
--- a/src/ingress/request_listener.h
+++ b/src/ingress/request_listener.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "config/config.h"
+#include "log/line_limiter.h"
 #include "metrics/counters.h"
 #include "net/http_server.h"
 
@@ -49,7 +50,9 @@
 
 class RequestListener : private net::HttpServer::Handler {
  public:
-  RequestListener(net::EventLoop& loop, const Config& config, Counters& counters, RequestHandler& handler);
+  // All of these must outlive the listener.
+  RequestListener(net::EventLoop& loop, const Config& config, Counters& counters, net::MemoryBudget& memory,
+                  RequestHandler& handler);
 
   net::HttpServer& http() { return http_; }
 
@@ -57,14 +60,17 @@
   net::HttpResponse OnRequest(net::HttpMessage& request) override;
   void OnResponseLost(std::uint64_t ticket) override;
   void OnReject(net::HttpMessage& request) override;
+  void OnLimit(net::ServerLimit limit, std::size_t held_bytes) override;
   net::HttpResponse OnRequestPosted(net::HttpMessage& request);
   // Fills `out`. Returns an error message, which is empty if the request is valid.
   std::string ParseRequest(net::HttpMessage& request, ClientRequest& out) const;
   net::HttpResponse Reject(int request_class, const char* why);
 
+  net::EventLoop& loop_;
   const Config& config_;
   Counters& counters_;
   RequestHandler& handler_;
+  log::LineLimiter limit_lines_;
   net::HttpServer http_;
 };
 
--- a/src/ingress/server_bounds.h
+++ b/src/ingress/server_bounds.h
@@ -7,7 +7,9 @@
 
 namespace opalroute {
 
-inline net::ServerBounds ServerBoundsOf(const Limits& limits) {
+// `memory` may be null: the memory of the connections is not counted then.
+inline net::ServerBounds ServerBoundsOf(const Limits& limits, net::MemoryBudget* memory,
+                                        net::MemoryOwner memory_owner) {
   net::ServerBounds bounds;
   bounds.http = {limits.head_bytes, limits.header_count, limits.body_bytes};
   bounds.response_bytes = limits.head_bytes;
@@ -22,6 +24,9 @@
   bounds.linger_bytes = limits.client_linger_bytes;
   bounds.idle_timeout = limits.client_idle_timeout;
   bounds.reject_retry_after = limits.reject_retry_after;
+  bounds.slow_request_time = limits.client_slow_request_time;
+  bounds.memory = memory;
+  bounds.memory_owner = memory_owner;
   return bounds;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -21,6 +21,7 @@
 #include "config/config.h"
 #include "log/log.h"
 #include "net/address.h"
+#include "net/allocator.h"
 #include "net/event_loop.h"
 #include "relay/relay.h"
 
@@ -75,6 +76,7 @@
 
 int Run(const opalroute::OperatorSettings& settings) {
   const sigset_t blocked = BlockSignals();
+  opalroute::net::ReturnLargeBlocksWhenFreed();
   const opalroute::Config config = opalroute::config::Load(EnvironmentVariable);
   const opalroute::net::SystemClock clock;
   opalroute::net::EventLoop loop(clock);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -2,10 +2,13 @@
 // they must not change.
 #pragma once
 
+#include <array>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "net/server_limit.h"
+
 namespace opalroute {
 
 struct Counters {
@@ -33,6 +36,9 @@
   long endpoints = 0;         // in the endpoint table now
   long requests_written = 0;  // to endpoints, up to the last byte
 
+  // Clients' requests and connections that a limit has ended, by net::ServerLimit.
+  std::array<long, net::kServerLimits> client_limits{};
+
   struct ClassCounters {
     long delivered = 0;
     long rejected = 0;  // on arrival or after they were accepted
@@ -49,6 +55,9 @@
   }
 
   nlohmann::ordered_json ToJson() const {
+    nlohmann::ordered_json limits;
+    for (std::size_t i = 0; i < client_limits.size(); ++i)
+      limits[net::NameOf(static_cast<net::ServerLimit>(i))] = client_limits[i];
     return {{"requests", requests},
             {"taken_on", accepted},
             {"restored", recovered},
@@ -88,6 +97,7 @@
             {"requests_over", requests_over},
             {"reopened", reopened},
             {"attempts_held_back", attempts_held_back},
+            {"client_limits", limits},
             {"endpoints", endpoints}};
   }
   std::string ToJsonText() const { return ToJson().dump(); }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,6 +1,5 @@
 #include "net/connection.h"
 
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,25 +11,31 @@
 
 namespace opalroute::net {
 
-Connection::Connection(EventLoop& loop, int fd, Owner& owner, std::size_t max_in, std::size_t max_out)
-    : loop_(loop), owner_(owner), fd_(fd), in_(max_in), out_(max_out) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+Connection::Connection(EventLoop& loop, int fd, Owner& owner, const ConnectionBounds& bounds)
+    : loop_(loop),
+      owner_(owner),
+      fd_(fd),
+      turn_bytes_(bounds.turn_bytes > 0 ? bounds.turn_bytes : bounds.max_in),
+      in_(bounds.max_in),
+      out_(bounds.max_out),
+      holding_(bounds.memory, bounds.memory_owner) {
+  SetNoDelay(fd);
+  SetSocketBuffers(fd, bounds.socket_send_bytes, bounds.socket_receive_bytes);
 }
 
 Connection::~Connection() { Close(); }
 
-std::unique_ptr<Connection> Connection::Adopt(EventLoop& loop, int fd, Owner& owner, std::size_t max_in,
-                                              std::size_t max_out) {
-  std::unique_ptr<Connection> connection(new Connection(loop, fd, owner, max_in, max_out));
+std::unique_ptr<Connection> Connection::Adopt(EventLoop& loop, int fd, Owner& owner,
+                                              const ConnectionBounds& bounds) {
+  std::unique_ptr<Connection> connection(new Connection(loop, fd, owner, bounds));
   return loop.Add(fd, connection.get()) ? std::move(connection) : nullptr;
 }
 
 std::unique_ptr<Connection> Connection::Connect(EventLoop& loop, const sockaddr_in& to, Owner& owner,
-                                                std::size_t max_in, std::size_t max_out) {
+                                                const ConnectionBounds& bounds) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return nullptr;
-  std::unique_ptr<Connection> connection(new Connection(loop, fd, owner, max_in, max_out));
+  std::unique_ptr<Connection> connection(new Connection(loop, fd, owner, bounds));
   connection->connecting_ = true;
   const int result = connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
   const int error = result < 0 ? errno : 0;
@@ -64,13 +69,15 @@
 }
 
 // Events are edge-triggered: reads until the socket has no more bytes, or the buffer is full and the owner
-// consumes nothing. One call reads no more bytes than the buffer holds, and then lets other connections have
-// a turn: a peer that sends at full speed would otherwise occupy the only thread.
+// consumes nothing, or there is no memory. One call reads no more than the bytes of a turn, and then lets
+// other connections have theirs: a peer that sends at full speed would otherwise occupy the only thread.
 void Connection::Read() {
-  std::size_t left = in_.max_size();
+  std::size_t left = turn_bytes_;
   while (fd_ >= 0) {
-    bool drained = false, reset = false, shortage = false;
+    bool drained = false, reset = false, shortage = false, paused = false;
     while (!in_.full() && !drained && !peer_closed_ && !reset && left > 0) {
+      paused = !MayRead();
+      if (paused) break;
       const ssize_t count = in_.ReadFrom(fd_);
       if (count > 0) left -= std::min(left, static_cast<std::size_t>(count));
       if (count == 0) peer_closed_ = true;
@@ -83,14 +90,21 @@
     const bool was_full = in_.full();
     if (reset) peer_closed_ = true;
     owner_.OnData(*this);
+    CountMemory();
     if (fd_ < 0) return;
     if (reset) return Finish(CloseReason::kReset);
     if (peer_closed_) return Finish(CloseReason::kPeerClosed);
-    if (drained || (was_full && in_.full())) return;
+    if (drained || paused || (was_full && in_.full())) return;
     if (left == 0) return loop_.Rearm(fd_, this) ? void() : ResumeAfter(kShortageRetryDelay);
   }
 }
 
+bool Connection::MayRead() {
+  if (!in_.empty() && !owner_.WantsMoreInput()) return false;
+  awaits_memory_ = !holding_.GrowOrAwait(in_.NextCapacity() - in_.capacity(), *this);
+  return !awaits_memory_;
+}
+
 void Connection::ResumeReading() {
   if (open()) Read();
 }
@@ -98,6 +112,7 @@
 bool Connection::Write(std::string_view bytes) {
   if (!out_.Append(bytes)) return false;
   if (open()) Flush();
+  CountMemory();
   return true;
 }
 
@@ -138,20 +153,6 @@
   if (open()) Flush();
 }
 
-int Connection::Peek() const {
-  char byte = 0;
-  ssize_t count = 0;
-  do {
-    count = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  } while (count < 0 && errno == EINTR);
-  return count < 0 ? errno : 0;
-}
-
-bool Connection::SeemsAlive() const {
-  const int error = Peek();
-  return !write_failed_ && (error == EAGAIN || IsResourceShortage(error));
-}
-
 void Connection::Finish(CloseReason how) {
   Close();
   owner_.OnClosed(*this, how);
@@ -159,6 +160,7 @@
 
 void Connection::Close() {
   if (fd_ < 0) return;
+  holding_.CancelWait(*this);
   loop_.Cancel(resume_timer_);
   loop_.Remove(fd_);
   close(fd_);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,6 +8,8 @@
 namespace opalroute::net {
 namespace {
 
+constexpr std::size_t kKeptLineBytes = 1024;  // of the line buffer, for the next message
+
 // ASCII only and independent of the locale: header names have no other letters (RFC 9110, 5.1).
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -101,12 +103,17 @@
   state_ = State::kStart;
   message_ = HttpMessage();
   line_.clear();
-  head_bytes_ = remaining_ = 0;
+  if (line_.capacity() > kKeptLineBytes) line_.shrink_to_fit();
+  head_bytes_ = remaining_ = field_bytes_ = 0;
   chunked_ = http_1_0_ = false;
   interim_count_ = 0;
   reject_status_ = 0;
 }
 
+std::size_t HttpParser::HeldBytes() const {
+  return line_.capacity() + message_.body.capacity() + message_.target.capacity() + field_bytes_;
+}
+
 void HttpParser::Fail(int status) {
   state_ = State::kFailed;
   reject_status_ = status;
@@ -212,7 +219,9 @@
   if (colon == std::string_view::npos || !IsToken(line.substr(0, colon)) || !IsPrintable(line))
     return Fail(400);
   if (message_.headers.size() >= bounds_.header_count) return Fail(431);
-  message_.headers.emplace_back(line.substr(0, colon), Trim(line.substr(colon + 1)));
+  const auto& [name, value] =
+      message_.headers.emplace_back(line.substr(0, colon), Trim(line.substr(colon + 1)));
+  field_bytes_ += sizeof(Headers::value_type) + name.capacity() + value.capacity();
 }
 
 void HttpParser::FinishHead() {
@@ -271,6 +280,20 @@
   }
 }
 
+// Doubles the space as it is needed, as an append would, but beyond neither the stated length nor the limit.
+void HttpParser::AppendToBody(std::string_view bytes) {
+  std::string& body = message_.body;
+  const std::size_t size = body.size() + bytes.size();
+  if (size > body.capacity()) {
+    const std::size_t largest = state_ == State::kBody ? body.size() + remaining_ : bounds_.body_bytes;
+    std::string grown;
+    grown.reserve(std::max(size, std::min(largest, 2 * body.capacity())));
+    grown.append(body);
+    body = std::move(grown);
+  }
+  body.append(bytes);
+}
+
 std::size_t HttpParser::ParseBody(std::string_view bytes) {
   const bool until_close = state_ == State::kBodyUntilClose;
   const std::size_t count = until_close ? bytes.size() : std::min(remaining_, bytes.size());
@@ -280,7 +303,7 @@
     Fail(413);
     return count;
   } else {
-    message_.body.append(bytes.substr(0, count));
+    AppendToBody(bytes.substr(0, count));
   }
   if (until_close) return count;
   remaining_ -= count;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -47,7 +47,8 @@
   bool failed() const { return state_ == State::kFailed; }
   int reject_status() const { return reject_status_; }  // if failed(): the status to reject a request with
   HttpMessage& message() { return message_; }
-  void Reset();  // for the next message
+  void Reset();                   // for the next message
+  std::size_t HeldBytes() const;  // allocated for the message so far, roughly
 
  private:
   // In the order in which a message passes through them; kFailed last.
@@ -65,6 +66,7 @@
   };
 
   void Fail(int status);
+  void AppendToBody(std::string_view bytes);
   void ParseLine();
   void ParseStartLine();
   void ParseHeader();
@@ -79,6 +81,7 @@
   HttpMessage message_;
   std::string line_;
   std::size_t head_bytes_ = 0, remaining_ = 0;
+  std::size_t field_bytes_ = 0;  // of the header fields of `message_`
   bool chunked_ = false, http_1_0_ = false;
   int interim_count_ = 0;
   int reject_status_ = 0;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -15,8 +15,9 @@
 
   bool Open() {
     const ClientBounds& b = client_.bounds_;
-    connection_ = Connection::Connect(client_.loop_, pool_.peer.address, *this,
-                                      b.http.head_bytes + b.http.body_bytes, b.request_bytes);
+    const ConnectionBounds of_connection{b.http.head_bytes + b.http.body_bytes, b.request_bytes, 0, b.memory,
+                                         b.memory_owner};
+    connection_ = Connection::Connect(client_.loop_, pool_.peer.address, *this, of_connection);
     SetTimer(b.connect_timeout);
     return connection_ != nullptr;
   }
@@ -104,6 +105,8 @@
                                                                              : Failure::kNotWritten);
   }
 
+  std::size_t HeldBytes() const override { return sizeof(*this) + parser_.HeldBytes(); }
+
   void Close() {
     client_.loop_.Cancel(timer_);
     if (!established_) --pool_.connecting;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -29,6 +29,8 @@
   Seconds response_timeout = 0;  // from the first byte of a response to its last
   // For the rest of a response whose status suffices (Call::StatusSuffices), or that belongs to no call.
   Seconds response_rest_timeout = 0;
+  MemoryBudget* memory = nullptr;  // null: the memory of the connections is not counted
+  MemoryOwner memory_owner = MemoryOwner::kEndpoints;
 };
 
 // The remote side of a call. Peers with the same address but another number share no connections: a
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -5,14 +5,18 @@
 #include <netinet/in.h>
 
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "net/connection.h"
+#include "net/eviction.h"
 #include "net/http.h"
 #include "net/listener.h"
+#include "net/server_limit.h"
+#include "net/turn_queue.h"
 
 namespace opalroute::net {
 
@@ -28,14 +32,21 @@
   // Between requests, while more than half of the connections are in use. Once all are, connections that have
   // been idle for as long are closed first to make room.
   Seconds crowded_idle_timeout = 0;
-  // Once all connections are in use, those that have sent no request for so long since they were accepted may
-  // be closed to make room.
+  // Once all connections are in use, those that have sent no request for so long since they were accepted, or
+  // have stopped in the middle of one, may be closed to make room.
   Seconds silent_timeout = 0;
   // After the last response on a connection, input is read and discarded for this time and up to this many
   // bytes: closing with unread input would reset the connection, and the client could lose the response.
   Seconds linger_timeout = 0;
   std::size_t linger_bytes = 0;
   Seconds reject_retry_after = 0;  // the Retry-After of a reject
+  // Once all connections are in use, or memory is short, a request that makes progress may be ended after so
+  // long.
+  Seconds slow_request_time = std::numeric_limits<Seconds>::infinity();
+  // Of each connection, in the system; 0: what the system gives.
+  std::size_t socket_send_bytes = 0, socket_receive_bytes = 0;
+  MemoryBudget* memory = nullptr;  // null: the memory of the connections is not counted
+  MemoryOwner memory_owner = MemoryOwner::kClients;
 };
 
 struct HttpResponse {
@@ -57,7 +68,11 @@
     virtual ~Handler() = default;
     virtual HttpResponse OnRequest(HttpMessage& request) = 0;
     virtual void OnResponseLost(std::uint64_t ticket) = 0;
-    virtual void OnReject(HttpMessage&) {}  // a request was rejected, as all connections are in use
+    // A request was rejected: all connections are in use, or its client has ended its sending.
+    virtual void OnReject(HttpMessage&) {}
+    // A limit has ended a request, or a connection that did not read its response, which held that much
+    // memory.
+    virtual void OnLimit(ServerLimit, std::size_t /*held_bytes*/) {}
   };
 
   HttpServer(EventLoop& loop, const sockaddr_in& listen, const ServerBounds& bounds, Handler& handler);
@@ -83,7 +98,11 @@
   using Clients = std::list<std::unique_ptr<Client>>;
   void Accept();
   enum class Vacancy { kNow, kSoon, kNone };
-  Vacancy CloseOneToMakeRoom();
+  Vacancy EndOneToMakeRoom();
+  void Evict(Client& client, EvictionGroup group);
+  void RejectBacklog(Client& client);
+  bool ReclaimMemory();
+  EvictionTimes TimesOfEviction() const;
   bool HasPendingConnection() const;
   Seconds IdleTimeout() const;
   void ScheduleAccept(Seconds when);
@@ -94,6 +113,8 @@
   Handler& handler_;
   int fd_;
   bool close_after_response_ = false;
+  bool is_last_turn_ = false;  // the process is about to exit
+  TurnQueue turns_;
   Clients clients_;
   EventLoop::TimerId accept_timer_ = 0;  // set while connections wait to be accepted
 };
--- a/src/net/ring_buffer.cpp
+++ b/src/net/ring_buffer.cpp
@@ -78,8 +78,13 @@
   return true;
 }
 
+std::size_t RingBuffer::NextCapacity() const {
+  if (size_ < capacity_) return capacity_;
+  return std::min(max_size_, std::max(kInitialCapacity, 2 * capacity_));
+}
+
 ssize_t RingBuffer::ReadFrom(int fd) {
-  if (size_ == capacity_) Reserve(std::max(kInitialCapacity, 2 * capacity_));
+  Reserve(NextCapacity());
   const std::size_t end = (begin_ + size_) % capacity_;
   const std::size_t free_bytes = capacity_ - size_, first = std::min(free_bytes, capacity_ - end);
   iovec parts[2] = {{bytes_.get() + end, first}, {bytes_.get(), free_bytes - first}};
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -18,6 +18,8 @@
 
   std::size_t max_size() const { return max_size_; }
   std::size_t size() const { return size_; }
+  std::size_t capacity() const { return capacity_; }  // bytes allocated
+  std::size_t NextCapacity() const;                   // once ReadFrom has been called
   bool empty() const { return size_ == 0; }
   bool full() const { return size_ >= max_size_; }
   std::string_view Front() const;  // the first bytes, up to where the storage wraps around
--- a/src/relay/client_bounds.cpp
+++ b/src/relay/client_bounds.cpp
@@ -24,7 +24,11 @@
 
 }  // namespace
 
-net::ClientBounds EndpointClientBounds(const Config& config) {
+net::MemoryBudget::Shares MemorySharesOf(const MemoryLimits& limits) {
+  return {limits.clients, limits.requests, limits.endpoints, limits.discovery, limits.operators};
+}
+
+net::ClientBounds EndpointClientBounds(const Config& config, net::MemoryBudget* memory) {
   const Limits& limits = config.limits;
   net::ClientBounds bounds;
   bounds.http = {limits.head_bytes, limits.header_count, 4 * limits.body_bytes, limits.interim_responses};
@@ -36,10 +40,11 @@
   bounds.replaceable_after = limits.max_confirmation_time;
   bounds.response_timeout = limits.upstream_response_timeout;
   bounds.response_rest_timeout = limits.upstream_response_rest_timeout;
+  bounds.memory = memory;
   return bounds;
 }
 
-net::ClientBounds PlatformClientBounds(const Limits& limits) {
+net::ClientBounds PlatformClientBounds(const Limits& limits, net::MemoryBudget* memory) {
   net::ClientBounds bounds;
   bounds.http = {limits.head_bytes, limits.header_count, limits.endpoint_list_bytes};
   bounds.request_bytes = limits.head_bytes + limits.notifications_per_request * 4 * limits.identifier_bytes;
@@ -49,6 +54,7 @@
   bounds.connect_timeout = limits.notification_attempt_timeout;
   bounds.idle_timeout = limits.upstream_idle_timeout;
   bounds.response_timeout = limits.platform_response_timeout;
+  bounds.memory = memory;
   return bounds;
 }
 
--- a/src/relay/client_bounds.h
+++ b/src/relay/client_bounds.h
@@ -6,10 +6,13 @@
 
 namespace opalroute {
 
+// The shares of the memory budget, by owner.
+net::MemoryBudget::Shares MemorySharesOf(const MemoryLimits& limits);
+
 // For the client that calls endpoints.
-net::ClientBounds EndpointClientBounds(const Config& config);
+net::ClientBounds EndpointClientBounds(const Config& config, net::MemoryBudget* memory);
 
 // For the client that sends notifications to the platform.
-net::ClientBounds PlatformClientBounds(const Limits& limits);
+net::ClientBounds PlatformClientBounds(const Limits& limits, net::MemoryBudget* memory);
 
 }  // namespace opalroute
--- a/src/relay/operations_metrics.cpp
+++ b/src/relay/operations_metrics.cpp
@@ -18,10 +18,30 @@
   return text;
 }
 
+// What each owner of the memory budget holds, in bytes, and which limits have ended requests of clients.
+std::string LimitLines(const Counters& counters, const net::MemoryBudget& memory) {
+  std::string text;
+  for (std::size_t i = 0; i < net::kMemoryOwners; ++i) {
+    const auto owner = static_cast<net::MemoryOwner>(i);
+    const net::MemoryBudget::Figures& figures = memory.figures(owner);
+    const std::string name = std::string("memory.") + net::NameOf(owner);
+    text += Line(name + ".held", static_cast<long>(figures.held));
+    text += Line(name + ".peak", static_cast<long>(figures.peak));
+    text += Line(name + ".budget", static_cast<long>(figures.share));
+    text += Line(name + ".refusals", figures.refusals);
+  }
+  for (std::size_t i = 0; i < net::kServerLimits; ++i) {
+    const char* name = net::NameOf(static_cast<net::ServerLimit>(i));
+    text += Line(std::string("client_limit.") + name, counters.client_limits[i]);
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string OperationsMetrics(const Config& config, const Counters& counters, const EndpointTable& endpoints,
-                              const RequestTable& requests, const DecisionLoop& decisions, Seconds now) {
+                              const RequestTable& requests, const DecisionLoop& decisions,
+                              const net::MemoryBudget& memory, Seconds now) {
   long known = 0;
   long skipped = 0;
   for (const EndpointId id : endpoints.Listed()) {
@@ -33,6 +53,7 @@
   text += Line("in_progress", requests.open());
   text += Line("known_endpoints", known);
   text += Line("skipped_endpoints", skipped);
+  text += LimitLines(counters, memory);
   return text;
 }
 
--- a/src/relay/operations_metrics.h
+++ b/src/relay/operations_metrics.h
@@ -14,6 +14,7 @@
 
 // `now` is the time of the event loop that drives `decisions`.
 std::string OperationsMetrics(const Config& config, const Counters& counters, const EndpointTable& endpoints,
-                              const RequestTable& requests, const DecisionLoop& decisions, Seconds now);
+                              const RequestTable& requests, const DecisionLoop& decisions,
+                              const net::MemoryBudget& memory, Seconds now);
 
 }  // namespace opalroute
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,13 +17,14 @@
     : loop_(loop),
       config_(config),
       settings_(settings),
+      memory_(loop, MemorySharesOf(config.limits.memory)),
       process_lock_(config.state_folder, config.inherited_fd >= 0),
       clock_(loop.clock(), config.state_folder),
       journal_(config.state_folder, JournalBudget(config, settings), JournalName(process_lock_.own_slot())),
-      endpoints_client_(loop, EndpointClientBounds(config)),
-      platform_client_(loop, PlatformClientBounds(config.limits)),
+      endpoints_client_(loop, EndpointClientBounds(config, &memory_)),
+      platform_client_(loop, PlatformClientBounds(config.limits, &memory_)),
       endpoints_(loop, endpoints_client_, config, counters_),
-      requests_(loop, clock_, config, counters_, journal_),
+      requests_(loop, clock_, config, counters_, memory_, journal_),
       decisions_(loop, config.settings, *this),
       calls_(loop, clock_, endpoints_client_, config, counters_, endpoints_, requests_, decisions_,
              {[this] { CheckStopped(); },
@@ -38,7 +39,7 @@
                          ? nullptr
                          : std::make_unique<MergedEndpointSource>(
                                loop, config, settings, static_cast<EndpointSource::Listener&>(*this))),
-      discovery_(loop, config.discovery, config.limits,
+      discovery_(loop, config.discovery, config.limits, &memory_,
                  merged_source_ ? static_cast<EndpointSource::Listener&>(*merged_source_) : *this),
       notifier_(loop, platform_client_, config.discovery, config.limits,
                 [this](const std::string& request) {
@@ -59,9 +60,12 @@
       discovery_address_(config.discovery),
       stop_timer_(loop),
       poll_timer_(loop),
-      server_(loop, config, counters_, intake_) {
+      server_(loop, config, counters_, memory_, intake_) {
   counters_.classes.resize(config.classes.size());
   log::Info("clock", {{"resumed", clock_.resumed()}, {"wall_step_ms", clock_.WallStep() / 1000}});
+  if (config.limits.memory_is_scarce)
+    log::Warn("memory_limit_small",
+              {{"key", "limits.memory_mb"}, {"why", "less than the program and its files need"}});
   clock_persister_.emplace(loop, config, clock_);
   if (config.peer_listen) {
     StartUnlessUnsupported("gossip between relays", [this] { peers_.Listen(); });
@@ -92,14 +96,14 @@
   pages.push_back({"/zones", [this] { return ZonesJson(); }});
   AdminServer::Commands commands;
   commands.push_back({"/zones", [this](const std::string& body) { return OnZoneCommand(body); }});
-  admin_ = std::make_unique<AdminServer>(loop_, *settings_.admin_listen, config_.limits, std::move(pages),
-                                         std::move(commands));
+  admin_ = std::make_unique<AdminServer>(loop_, *settings_.admin_listen, config_.limits, &memory_,
+                                         std::move(pages), std::move(commands));
 }
 
 void Relay::StartOperationsServer() {
   admin::OperationsHandler& handler = *this;
   operations_server_ =
-      std::make_unique<admin::OperationsServer>(loop_, *config_.ops, config_.limits, handler);
+      std::make_unique<admin::OperationsServer>(loop_, *config_.ops, config_.limits, &memory_, handler);
 }
 
 void Relay::StartStateTransfer() {
@@ -221,7 +225,7 @@
 // ---- operators -----------------------------------------------------------------------------------
 
 std::string Relay::Metrics() const {
-  return OperationsMetrics(config_, counters_, endpoints_, requests_, decisions_, loop_.Now());
+  return OperationsMetrics(config_, counters_, endpoints_, requests_, decisions_, memory_, loop_.Now());
 }
 
 admin::CommandResult Relay::SetSuspended(const std::string& endpoint, bool suspended) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -24,6 +24,7 @@
 #include "metrics/counters.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "net/memory_budget.h"
 #include "net/timer.h"
 #include "notification/failure_notifier.h"
 #include "relay/clock_persister.h"
@@ -125,6 +126,7 @@
   net::EventLoop& loop_;
   const Config& config_;
   const OperatorSettings settings_;
+  net::MemoryBudget memory_;
   Counters counters_;
   hot_restart::ProcessLock process_lock_;
   PersistentClock clock_;
--- a/src/relay/request_table.cpp
+++ b/src/relay/request_table.cpp
@@ -11,12 +11,18 @@
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
+constexpr std::size_t kRequestBytes = 2048;  // of a request's objects in all tables
+
+// A request is held by the table and by the journal.
+std::size_t HeldBytesOf(const JournalEntry& entry) {
+  return kRequestBytes + 2 * (entry.id.size() + entry.key.size() + entry.body.size());
+}
 
 }  // namespace
 
 RequestTable::RequestTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
-                           Counters& counters, Journal& journal)
-    : loop_(loop), clock_(clock), config_(config), counters_(counters), journal_(journal) {}
+                           Counters& counters, net::MemoryBudget& memory, Journal& journal)
+    : loop_(loop), clock_(clock), config_(config), counters_(counters), memory_(memory), journal_(journal) {}
 
 AcceptedRequest* RequestTable::Find(RequestId request_id) {
   const auto it = requests_.find(request_id);
@@ -58,8 +64,14 @@
   entry.body = request.body;
   entry.destination = request.destination;
   entry.deadline = clock_.Micros() + static_cast<std::int64_t>(request.remaining_time * kMicrosPerSecond);
-  if (!journal_.RecordAccepted(entry)) return 0;
+  const std::size_t held_bytes = HeldBytesOf(entry);
+  if (!memory_.TryHold(net::MemoryOwner::kRequests, held_bytes)) return 0;
+  if (!journal_.RecordAccepted(entry)) {
+    memory_.Release(net::MemoryOwner::kRequests, held_bytes);
+    return 0;
+  }
   AcceptedRequest accepted;
+  accepted.held_bytes = held_bytes;
   accepted.id = std::move(request.id);
   accepted.key = std::move(request.key);
   accepted.body = std::move(request.body);
@@ -77,6 +89,8 @@
   recovered.request_class = IndexOf(config_.classes, entry.request_class);
   recovered.destination = entry.destination;
   recovered.deadline = loop_.Now() + remaining;
+  recovered.held_bytes = HeldBytesOf(entry);
+  memory_.Hold(net::MemoryOwner::kRequests, recovered.held_bytes);
   for (std::size_t i = 0; i < entry.attempts.size(); ++i)
     recovered.journal_attempts.push_back(recovered.recorded_attempts++);
   return Add(std::move(recovered));
@@ -131,6 +145,7 @@
   if (!request.ended || request.attempts_in_flight > 0) return;
   const auto by_id = by_client_id_.find(request.id);
   if (by_id != by_client_id_.end() && by_id->second == request_id) by_client_id_.erase(by_id);
+  memory_.Release(net::MemoryOwner::kRequests, request.held_bytes);
   requests_.erase(it);
 }
 
--- a/src/relay/request_table.h
+++ b/src/relay/request_table.h
@@ -13,6 +13,7 @@
 #include "journal/persistent_clock.h"
 #include "metrics/counters.h"
 #include "net/event_loop.h"
+#include "net/memory_budget.h"
 #include "opalroute/events.h"
 
 namespace opalroute {
@@ -35,6 +36,7 @@
   // An endpoint may have stated that it is over, so no process may send it again. Recorded, with the
   // notification that is owed if the statement was another request's.
   bool may_be_over = false;
+  std::size_t held_bytes = 0;  // in the memory budget, here and in the journal
 
   bool IsOpen() const { return !ended && !awaits_confirmation; }
 };
@@ -42,7 +44,7 @@
 class RequestTable {
  public:
   RequestTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config, Counters& counters,
-               Journal& journal);
+               net::MemoryBudget& memory, Journal& journal);
 
   AcceptedRequest* Find(RequestId request_id);  // null if unknown
   AcceptedRequest& At(RequestId request_id) { return requests_.at(request_id); }
@@ -52,7 +54,8 @@
   int open() const { return open_; }  // requests that have not ended, and await no confirmation
   int awaiting_confirmation() const { return awaiting_confirmation_; }
 
-  // Returns the id of the new request, or 0 if it could not be recorded and is therefore not accepted.
+  // Returns the id of the new request, or 0 if it could not be recorded, or there is no memory for it, and it
+  // is therefore not accepted.
   RequestId Accept(ClientRequest&& request);
   // Adds a request that an earlier process accepted. `remaining` is the time until its deadline.
   RequestId Recover(const JournalEntry& entry, Seconds remaining);
@@ -87,6 +90,7 @@
   const PersistentClock& clock_;
   const Config& config_;
   Counters& counters_;
+  net::MemoryBudget& memory_;
   Journal& journal_;
   RequestId last_id_ = 0;
   std::map<RequestId, AcceptedRequest> requests_;
--- a/src/state_transfer/snapshot_client.cpp
+++ b/src/state_transfer/snapshot_client.cpp
@@ -19,7 +19,7 @@
   bool Open(const sockaddr_in& address) {
     opened_at_ = client_.loop_.Now();
     connection_ =
-        net::Connection::Connect(client_.loop_, address, *this, kMaxFrameBytes, kRequestBufferBytes);
+        net::Connection::Connect(client_.loop_, address, *this, {kMaxFrameBytes, kRequestBufferBytes});
     return connection_ != nullptr &&
            connection_->Write(EncodeFrame(SnapshotRequest{kVersion, client_.name_}));
   }
--- a/src/state_transfer/snapshot_server.cpp
+++ b/src/state_transfer/snapshot_server.cpp
@@ -28,7 +28,7 @@
   explicit Session(SnapshotServer& server) : server_(server), timer_(server.loop_) {}
 
   bool Open(int fd) {
-    connection_ = net::Connection::Adopt(server_.loop_, fd, *this, kReadBufferBytes, kWriteBufferBytes);
+    connection_ = net::Connection::Adopt(server_.loop_, fd, *this, {kReadBufferBytes, kWriteBufferBytes});
     // Bounds the time of a client that sends no request or does not read.
     timer_.Start(server_.loop_.Now() + server_.limits_.snapshot_session_timeout,
                  [this] { server_.Drop(*this); });
--- a/tests/lab/hostile_clients_processes_test.cpp
+++ b/tests/lab/hostile_clients_processes_test.cpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/sockets/hostile_clients.h"
+#include "lab/sockets/hostile_crowd.h"
 #include "lab/sockets/punctual_client.h"
 #include "tests/support/single_relay.h"
 
@@ -45,10 +45,11 @@
     punctual_->Start(kPunctualInterval);
     relay_.RunFor(0.5);
     idle_bytes_ = ResidentBytes();
-    hostile_ = std::make_unique<HostileClients>(relay_.loop(), relay_.process().address(), Fields());
   }
 
-  HostileClients& hostile() { return *hostile_; }
+  void StartCrowd(const std::vector<HostileKind>& kinds, int clients) {
+    crowd_ = std::make_unique<HostileCrowd>(relay_.process().address(), Fields(), kinds, clients);
+  }
 
   void CheckAnswers() {
     relay_.RunFor(kCrowdTime);
@@ -61,7 +62,7 @@
 
   // The clients leave. The peak includes the time in which the relay reads what they have left behind.
   void CheckMemory() {
-    hostile_->Leave();
+    crowd_->Leave();
     const double limit = kMaxResidentAfter * idle_bytes_;
     const auto returned = [&] { return !kMeasuresMemory || ResidentBytes() <= limit; };
     relay_.RunUntil(kMemoryReturnedWithin, returned);
@@ -86,7 +87,7 @@
   const RelayLimits limits_;
   SingleRelay relay_;
   std::unique_ptr<PunctualClient> punctual_;
-  std::unique_ptr<HostileClients> hostile_;
+  std::unique_ptr<HostileCrowd> crowd_;
   double idle_bytes_ = 0;
 };
 
@@ -99,8 +100,7 @@
   CAPTURE(names);
   MESSAGE(names, ": ", clients, " clients, ", limits.memory_mb, " MB, ", limits.sockets, " sockets");
   SmallRelay relay(limits);
-  for (const HostileKind kind : kinds)
-    relay.hostile().Connect(kind, clients / static_cast<int>(kinds.size()));
+  relay.StartCrowd(kinds, clients);
   relay.CheckAnswers();
   relay.CheckMemory();
 }
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -40,7 +40,7 @@
   const std::string bytes(32 * 1024, 'x');
   REQUIRE(send(ends[1], bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
   CountingOwner owner;
-  const auto connection = Connection::Adopt(loop, ends[0], owner, 1024, 1024);
+  const auto connection = Connection::Adopt(loop, ends[0], owner, {1024, 1024});
   for (std::size_t turn = 1; turn <= 32; ++turn) {
     loop.RunOnce(0);
     CHECK(owner.received == turn * 1024);
--- a/tests/notification/failure_notifier_test.cpp
+++ b/tests/notification/failure_notifier_test.cpp
@@ -52,7 +52,7 @@
   sockaddr_in address = net::BoundAddress(fd);
   Platform platform;
   std::unique_ptr<net::HttpServer> server;
-  net::HttpClient client{loop, PlatformClientBounds(limits)};
+  net::HttpClient client{loop, PlatformClientBounds(limits, nullptr)};
   std::map<std::string, int> acknowledged;
   FailureNotifier notifier{loop, client, address, limits,
                            [this](const std::string& request) { ++acknowledged[request]; }};
