A request whose client has left is not accepted, and one that has run does not run again

Callers saw: requests sent on after their client had closed its connection, and ids that ran twice when they came again after that. Cause: the end of a connection was seen only behind all unread bytes, so requests before it were accepted although the system knew of the end; and an id was forgotten with the end of its request, so the same id was a new request. The same id again is answered 202 and runs once; with other content it is refused with 409.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -26,7 +26,8 @@
 namespace {
 
 constexpr double kBytesPerMegabyte = 1e6;
-constexpr double kDefaultMemoryMegabytes = 192;  // where `limits.memory_mb` is missing
+constexpr std::size_t kDiskBytesPerRememberedRequest = 800;  // so that their file has 4% of the disk
+constexpr double kDefaultMemoryMegabytes = 192;              // where `limits.memory_mb` is missing
 
 sockaddr_in ParseAddressKey(const std::string& text, const char* key) {
   const auto address = net::ParseAddress(text);
@@ -74,6 +75,7 @@
     const auto disk_mb = GetOr(*given, "disk_mb", 3.0);
     if (disk_mb <= 0) throw FieldError("key 'limits.disk_mb' must be greater than 0");
     limits.disk_bytes = static_cast<std::size_t>(disk_mb * kBytesPerMegabyte);
+    limits.remembered_requests = limits.disk_bytes / kDiskBytesPerRememberedRequest;
     const auto sockets = GetOr(*given, "sockets", 1024);
     if (sockets < 64) throw FieldError("key 'limits.sockets' must be at least 64");
     // Of each 32 descriptors 15 are for clients, 1 is for clients that only get a reject, and 12 are for
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -62,8 +62,12 @@
   double max_remaining_time = 3600;
   // A destination that has lost its last endpoint is still accepted for this long.
   double empty_destination_grace_period = 60;
+  // An ended request that may have run is remembered until its deadline, and for at least this long: its
+  // client may hand it in again.
+  double min_remembered_time = 5;
   // State folder
   std::size_t disk_bytes = 3'000'000;
+  std::size_t remembered_requests = 3750;  // by each of two processes; set from disk_bytes
   // Discovery and notifications
   double watch_heartbeat_interval = 2;   // a working watch delivers a line at least this often
   double watch_silence_timeout = 3.5;    // without a line for this long, a watch has failed
--- a/src/ingress/request_listener.h
+++ b/src/ingress/request_listener.h
@@ -26,7 +26,8 @@
 };
 
 enum class AcceptResult {
-  kAccepted,            // accepted now, or repeats an accepted request: same id, key, body and destination
+  kAccepted,            // accepted now, or repeats a request that is accepted, or has ended
+                        // and may have run: same id, key, body and destination
   kAtCapacity,          // too many open requests
   kNotRecorded,         // no disk space, or writing to the journal failed
   kStopping,            // the relay is shutting down
--- a/src/net/http_server_client.cpp
+++ b/src/net/http_server_client.cpp
@@ -117,9 +117,9 @@
     if (!ReadRequest()) return;
     if (parser_.failed()) {
       FailRequest();
-    } else if (rejected_ || connection_->peer_closed()) {
+    } else if (rejected_ || connection_->PeerHasEnded()) {
       // A client that has ended its sending has left, or will send the request again: this copy must not be
-      // accepted.
+      // accepted. The system is asked, as the end may lie behind bytes that are not read yet.
       RejectAll();
     } else {
       HandleRequest();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -19,6 +19,7 @@
 #include "discovery/merged_endpoint_source.h"
 #include "hot_restart/process_lock.h"
 #include "ingress/request_listener.h"
+#include "journal/ended_requests.h"
 #include "journal/journal.h"
 #include "journal/persistent_clock.h"
 #include "metrics/counters.h"
@@ -131,6 +132,7 @@
   hot_restart::ProcessLock process_lock_;
   PersistentClock clock_;
   Journal journal_;
+  EndedRequests ended_requests_;
   net::HttpClient endpoints_client_;
   net::HttpClient platform_client_;
   EndpointTable endpoints_;
--- a/src/relay/request_intake.cpp
+++ b/src/relay/request_intake.cpp
@@ -19,6 +19,14 @@
   if (const AcceptedRequest* accepted = dependencies_.requests.FindByClientId(request.id)) {
     return IsRepeatOf(*accepted, request) ? AcceptResult::kAccepted : AcceptResult::kIdInUse;
   }
+  switch (dependencies_.requests.FindEnded(request)) {
+    case RequestTable::EndedAs::kSame:
+      return AcceptResult::kAccepted;  // it may have run, and is over
+    case RequestTable::EndedAs::kOther:
+      return AcceptResult::kIdInUse;
+    case RequestTable::EndedAs::kUnknown:
+      break;
+  }
   if (!accepting_) return AcceptResult::kStopping;
   if (!dependencies_.endpoints.Serves(request.destination)) {
     return list_is_current_ ? AcceptResult::kUnknownDestination : AcceptResult::kListNotYetCurrent;
--- a/src/relay/request_recovery.cpp
+++ b/src/relay/request_recovery.cpp
@@ -7,6 +7,7 @@
 
 #include "hot_restart/route_health_file.h"
 #include "journal/durable_file.h"
+#include "journal/ended_requests.h"
 #include "log/log.h"
 #include "relay/membership_file.h"
 
@@ -37,11 +38,14 @@
   const std::size_t route_healths =
       hot_restart::kProcessSlots *
       (config.limits.saved_route_healths * hot_restart::RouteHealthFile::kRecordBytes + kDiskBlockBytes);
+  const bool two_processes = config.inherited_fd >= 0;
+  const std::size_t ended_requests =
+      (two_processes ? hot_restart::kProcessSlots : 1) *
+      (config.limits.remembered_requests * EndedRequests::kRecordBytes + kDiskBlockBytes);
   const std::size_t other_files =
-      snapshot + membership + PersistentClock::kMaxDiskBytes + suspended + route_healths;
+      snapshot + membership + PersistentClock::kMaxDiskBytes + suspended + route_healths + ended_requests;
   const std::size_t disk = config.limits.disk_bytes;
   const std::size_t rest = disk - std::min(disk / 2, other_files);
-  const bool two_processes = config.inherited_fd >= 0;
   return two_processes ? rest / hot_restart::kProcessSlots : rest;
 }
 
@@ -103,6 +107,7 @@
   dependencies_.process_lock.TryRunWithOtherSlotLocked([&] {
     Journal other(dependencies_.config.state_folder, other_journal_budget_, file);
     adopted = dependencies_.journal.AdoptEntriesOf(other);
+    dependencies_.requests.ReadEndedOfOtherProcess();
   });
   return adopted;
 }
--- a/src/relay/request_table.cpp
+++ b/src/relay/request_table.cpp
@@ -1,5 +1,6 @@
 #include "relay/request_table.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <system_error>
 #include <utility>
@@ -21,8 +22,15 @@
 }  // namespace
 
 RequestTable::RequestTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
-                           Counters& counters, net::MemoryBudget& memory, Journal& journal)
-    : loop_(loop), clock_(clock), config_(config), counters_(counters), memory_(memory), journal_(journal) {}
+                           Counters& counters, net::MemoryBudget& memory, Journal& journal,
+                           EndedRequests& ended)
+    : loop_(loop),
+      clock_(clock),
+      config_(config),
+      counters_(counters),
+      memory_(memory),
+      journal_(journal),
+      ended_(ended) {}
 
 AcceptedRequest* RequestTable::Find(RequestId request_id) {
   const auto it = requests_.find(request_id);
@@ -115,6 +123,26 @@
   --(request.awaits_confirmation ? awaiting_confirmation_ : open_);
 }
 
+RequestTable::EndedAs RequestTable::FindEnded(const ClientRequest& request) const {
+  const auto content = ended_.Find(request.id, clock_.Micros());
+  if (!content) return EndedAs::kUnknown;
+  const bool same = *content == HashRequestContent(request.key, request.body, request.destination);
+  return same ? EndedAs::kSame : EndedAs::kOther;
+}
+
+// Before its end is recorded: no process may take the id for a new one in between.
+void RequestTable::RememberIfMayHaveRun(const AcceptedRequest& request) {
+  const JournalEntry* entry = journal_.FindEntry(request.id);
+  if (entry == nullptr) return;
+  const bool may_have_run = std::any_of(entry->attempts.begin(), entry->attempts.end(),
+                                        [](const JournalAttempt& attempt) { return attempt.may_have_run; });
+  if (!may_have_run) return;
+  const auto least = static_cast<std::int64_t>(config_.limits.min_remembered_time * kMicrosPerSecond);
+  const std::int64_t until = std::max(entry->deadline, clock_.Micros() + least);
+  const std::uint64_t content = HashRequestContent(request.key, request.body, request.destination);
+  OnJournalWrite(ended_.Add(request.id, content, until));
+}
+
 void RequestTable::AwaitConfirmation(AcceptedRequest& request) {
   request.awaits_confirmation = true;
   --open_;
@@ -124,6 +152,7 @@
 void RequestTable::Supersede(AcceptedRequest& request) { MarkEnded(request); }
 
 void RequestTable::End(AcceptedRequest& request) {
+  RememberIfMayHaveRun(request);
   MarkEnded(request);
   OnJournalWrite(journal_.RecordEnd(request.id));
 }
@@ -134,6 +163,7 @@
 }
 
 void RequestTable::EndWithNotification(AcceptedRequest& request, const std::string& notification) {
+  RememberIfMayHaveRun(request);
   MarkEnded(request);
   OnJournalWrite(journal_.RecordEndWithNotification(request.id, notification));
 }
--- a/src/relay/request_table.h
+++ b/src/relay/request_table.h
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "ingress/request_listener.h"
+#include "journal/ended_requests.h"
 #include "journal/journal.h"
 #include "journal/persistent_clock.h"
 #include "metrics/counters.h"
@@ -44,11 +45,15 @@
 class RequestTable {
  public:
   RequestTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config, Counters& counters,
-               net::MemoryBudget& memory, Journal& journal);
+               net::MemoryBudget& memory, Journal& journal, EndedRequests& ended);
 
   AcceptedRequest* Find(RequestId request_id);  // null if unknown
   AcceptedRequest& At(RequestId request_id) { return requests_.at(request_id); }
   AcceptedRequest* FindByClientId(const std::string& client_id);
+  // Whether a request with this id has ended and may have run, and if so, whether it had this content.
+  enum class EndedAs { kUnknown, kSame, kOther };
+  EndedAs FindEnded(const ClientRequest& request) const;
+  void ReadEndedOfOtherProcess() { ended_.ReadOtherSlot(); }
   // The request that has the client's id now, even if it was reopened; 0 if there is none.
   RequestId CurrentId(const std::string& client_id) const;
   int open() const { return open_; }  // requests that have not ended, and await no confirmation
@@ -83,6 +88,7 @@
  private:
   RequestId Add(AcceptedRequest&& request);
   void MarkEnded(AcceptedRequest& request);
+  void RememberIfMayHaveRun(const AcceptedRequest& request);
   // Counts failed journal writes; logs the first of a series and the first success after it.
   void OnJournalWrite(bool written);
 
@@ -92,6 +98,7 @@
   Counters& counters_;
   net::MemoryBudget& memory_;
   Journal& journal_;
+  EndedRequests& ended_;
   RequestId last_id_ = 0;
   std::map<RequestId, AcceptedRequest> requests_;
   std::unordered_map<std::string, RequestId> by_client_id_;
--- a/tests/support/fake_discovery.h
+++ b/tests/support/fake_discovery.h
@@ -66,7 +66,8 @@
   }
   // When a list with the draining endpoint was first sent to the relay; negative: not yet.
   net::Seconds drain_sent_at() const { return drain_sent_at_; }
-  int calls() const { return calls_; }  // number of watch requests
+  int calls() const { return calls_; }                                 // number of watch requests
+  const std::string& notifications() const { return notifications_; }  // the lines of all of them
 
   net::Seconds busy_delay = 0.5;
 
@@ -107,7 +108,10 @@
     bool is_silenced() const { return number_ < service_.first_unsilenced_session_; }
     void Respond(const net::HttpMessage& request) {
       parser_.Reset();
-      if (request.method == "POST") return void(connection_->Write(net::FormatResponse(204, {}, "")));
+      if (request.method == "POST") {
+        service_.notifications_ += request.body;
+        return void(connection_->Write(net::FormatResponse(204, {}, "")));
+      }
       ++service_.calls_;
       switch (service_.choose_reply_()) {
         case Reply::kServe:
@@ -168,6 +172,7 @@
   net::EventLoop& loop_;
   const std::string first_, second_;
   const ChooseReply choose_reply_;
+  std::string notifications_;
   std::string published_list_;  // empty: the list of the two endpoints
   bool is_draining_ = false;
   int last_session_ = 0, first_unsilenced_session_ = 0, calls_ = 0;
