An address belongs to the endpoint that the list gave it last, and a new process shares nothing

Callers saw: a new process came up at the address of one that had gone and was taken for the old one, so calls went to the wrong place. Cause: the list's entry of the former endpoint kept its address in use until the list said 'gone' of it; startedAtMs was not read, so kept connections and calls that waited for one stayed with the former process; a waiting call was not checked against the endpoint's present address. Change: EndpointTable notes which update gave an endpoint its address. After an update the newest claim owns the address (then the later start, then the one in service); the other endpoint is removed for the router, and stays so while the list repeats the same address for it. Where nothing tells which is newer, both stay. net::Peer names the process as well, by its start: a new start or address closes idle connections, later calls open others, and a call or health check that waits for its connection is held back if another process has taken the endpoint's place. What the router knows of the endpoint's health stays over a new start: a cold process must not get more than before.

--- a/src/discovery/endpoint_list_parser.cpp
+++ b/src/discovery/endpoint_list_parser.cpp
@@ -26,6 +26,7 @@
   record.kind = config::Get<std::string>(row, "machineType");
   record.destination = config::Get<long long>(row, "cell");
   record.weight = config::GetOr(row, "weight", 0.0);
+  record.started_at_ms = static_cast<std::int64_t>(config::GetOr(row, "startedAtMs", 0.0));
   return record;
 }
 
--- a/src/discovery/endpoint_merge.cpp
+++ b/src/discovery/endpoint_merge.cpp
@@ -7,8 +7,9 @@
 using Status = EndpointRecord::Status;
 
 bool AreEqual(const EndpointRecord& a, const EndpointRecord& b) {
-  return a.status == b.status && a.weight == b.weight && a.zone == b.zone && a.kind == b.kind &&
-         a.address.sin_addr.s_addr == b.address.sin_addr.s_addr && a.address.sin_port == b.address.sin_port;
+  return a.status == b.status && a.weight == b.weight && a.started_at_ms == b.started_at_ms &&
+         a.zone == b.zone && a.kind == b.kind && a.address.sin_addr.s_addr == b.address.sin_addr.s_addr &&
+         a.address.sin_port == b.address.sin_port;
 }
 
 }  // namespace
--- a/src/discovery/endpoint_source.h
+++ b/src/discovery/endpoint_source.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   long long destination = 0;
   Status status = Status::kInService;
   double weight = 0;  // rating, in requests per second; 0 if none is given
+  // Unix time of the last start of its process, in milliseconds; 0: long ago, or not known.
+  std::int64_t started_at_ms = 0;
 };
 
 // A complete list, or changes to the previous one.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -220,7 +220,7 @@
 }
 
 HttpClient::Key HttpClient::KeyOf(const Peer& peer) {
-  return {peer.address.sin_addr.s_addr, peer.address.sin_port, peer.number};
+  return {net::KeyOf(peer.address), peer.number, peer.process};
 }
 
 void HttpClient::Detach(Call& call) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <tuple>
 
+#include "net/address.h"
 #include "net/connection.h"
 #include "net/http.h"
 
@@ -33,11 +34,16 @@
   MemoryOwner memory_owner = MemoryOwner::kEndpoints;
 };
 
-// The remote side of a call. Peers with the same address but another number share no connections: a
-// connection of a former peer at this address may be dead, or still deliver data for that peer.
+// The remote side of a call. Peers with the same address but another number or process share no connections:
+// a connection of a former peer at this address may be dead, or still deliver data for that peer.
 struct Peer {
   sockaddr_in address{};
   std::uint64_t number = 0;  // tells peers with the same address apart; 0 if there is only one
+  std::int64_t process = 0;  // tells the processes of a peer apart
+
+  bool operator==(const Peer& other) const {
+    return KeyOf(address) == KeyOf(other.address) && number == other.number && process == other.process;
+  }
 };
 
 // The place of a call among those of its connection.
@@ -140,7 +146,7 @@
   };
 
  private:
-  using Key = std::tuple<std::uint32_t, std::uint16_t, std::uint64_t>;
+  using Key = std::tuple<std::uint64_t, std::uint64_t, std::int64_t>;
   static Key KeyOf(const Peer& peer);
   void Detach(Call& call);  // clears its pool and connection
   bool Open(PeerPool& pool);
--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -90,7 +90,9 @@
   Endpoint& endpoint = endpoints_.at(id);
   if (!std::exchange(endpoint.listed, false)) return;
   unlisted_.insert(id);
-  client_.CloseIdle({endpoint.address, id});
+  client_.CloseIdle(PeerOf(endpoint, id));
+  const auto owner = owners_.find(net::KeyOf(endpoint.address));
+  if (owner != owners_.end() && owner->second == id) owners_.erase(owner);
   DestinationState& destination = destinations_[endpoint.destination];
   --destination.listed_endpoints;
   destination.last_removal = loop_.Now();
@@ -107,7 +109,7 @@
   for (const EndpointId id : unused) {
     const Endpoint& endpoint = endpoints_.at(id);
     if (endpoint.listed || endpoint.calls_in_flight > 0) continue;
-    client_.CloseIdle({endpoint.address, id});
+    client_.CloseIdle(PeerOf(endpoint, id));
     const auto number = ids_.find(endpoint.id);
     if (number != ids_.end() && number->second == id) ids_.erase(number);
     endpoints_.erase(id);
@@ -148,6 +150,7 @@
 
 std::optional<EndpointId> EndpointTable::ApplyRecord(const EndpointRecord& record, bool stale,
                                                      ListUpdate& update) {
+  if (IsDisplaced(record)) return std::nullopt;
   std::optional<ListedEndpoint> entry = ToListedEndpoint(record, stale);
   if (!entry) return std::nullopt;
   entry->endpoint = Intern(record.id);
@@ -157,7 +160,7 @@
     entry->endpoint = Intern(record.id);
   }
   Endpoint& endpoint = endpoints_.at(entry->endpoint);
-  UpdateEndpoint(endpoint, *entry, record.address);
+  UpdateEndpoint(endpoint, *entry, record);
   if (ever_listed_.size() < config_.limits.remembered_endpoint_ids) ever_listed_.insert(record.id);
   const EndpointStatus before = std::exchange(endpoint.listed_endpoint, *entry).status;
   if (before != entry->status) LogState(endpoint, before);
@@ -165,8 +168,60 @@
   return entry->endpoint;
 }
 
+std::optional<EndpointId> EndpointTable::OwnerOf(const sockaddr_in& address) const {
+  const auto owner = owners_.find(net::KeyOf(address));
+  if (owner == owners_.end()) return std::nullopt;
+  const auto endpoint = endpoints_.find(owner->second);
+  const bool owns = endpoint != endpoints_.end() && endpoint->second.listed &&
+                    net::KeyOf(endpoint->second.address) == net::KeyOf(address);
+  return owns ? std::optional(owner->second) : std::nullopt;
+}
+
+bool EndpointTable::IsOlderClaim(const Endpoint& claim, const Endpoint& than) const {
+  if (claim.claimed_in != than.claimed_in) return claim.claimed_in < than.claimed_in;
+  if (claim.started_at_ms != than.started_at_ms) return claim.started_at_ms < than.started_at_ms;
+  return claim.listed_endpoint.status == EndpointStatus::kDraining &&
+         than.listed_endpoint.status == EndpointStatus::kInService;
+}
+
+// After all records of an update: endpoints may have swapped their addresses. Where one update names two
+// endpoints with one address, and nothing tells which is newer, both stay.
+void EndpointTable::RemoveDisplaced(ListUpdate& update) {
+  for (const EndpointId id : claims_) {
+    const Endpoint& claim = endpoints_.at(id);
+    if (!claim.listed) continue;
+    const std::optional<EndpointId> owner = OwnerOf(claim.address);
+    const bool owner_is_newer = owner && *owner != id && IsOlderClaim(claim, endpoints_.at(*owner));
+    if (owner && *owner != id && IsOlderClaim(endpoints_.at(*owner), claim)) Displace(*owner, update);
+    if (owner_is_newer) {
+      Displace(id, update);
+    } else {
+      owners_[net::KeyOf(claim.address)] = id;
+    }
+  }
+}
+
+void EndpointTable::Displace(EndpointId number, ListUpdate& update) {
+  const Endpoint& displaced = endpoints_.at(number);
+  log::Info("endpoint_address_reassigned",
+            {{"endpoint", displaced.id}, {"address", net::FormatAddress(displaced.address)}});
+  displaced_[displaced.id] = net::KeyOf(displaced.address);
+  RemoveReassigned(displaced.id, number, update);
+}
+
+// Whether the list still names an address for the endpoint that it has given to another one since.
+bool EndpointTable::IsDisplaced(const EndpointRecord& record) {
+  const auto displaced = displaced_.find(record.id);
+  if (displaced == displaced_.end()) return false;
+  const bool same_address = displaced->second == net::KeyOf(record.address);
+  if (record.status != EndpointRecord::Status::kRemoved && same_address && OwnerOf(record.address))
+    return true;
+  displaced_.erase(displaced);
+  return false;
+}
+
 // Removes the old endpoint, so that the new one can have its id.
-void EndpointTable::RemoveReassigned(const std::string& id, EndpointId number, ListUpdate& update) {
+void EndpointTable::RemoveReassigned(std::string id, EndpointId number, ListUpdate& update) {
   const Endpoint& old = endpoints_.at(number);
   update.entries.push_back({number, old.zone, old.kind, old.destination, EndpointStatus::kRemoved, 0});
   Unlist(number);
@@ -174,12 +229,21 @@
 }
 
 void EndpointTable::UpdateEndpoint(Endpoint& endpoint, const ListedEndpoint& entry,
-                                   const sockaddr_in& address) {
-  if (net::FormatAddress(endpoint.address) != net::FormatAddress(address))
-    client_.CloseIdle({endpoint.address, entry.endpoint});
+                                   const EndpointRecord& record) {
+  const bool moves = net::KeyOf(endpoint.address) != net::KeyOf(record.address);
+  const bool starts_anew = record.started_at_ms > endpoint.started_at_ms;
+  if (moves || starts_anew) client_.CloseIdle(PeerOf(endpoint, entry.endpoint));
+  if (endpoint.listed && starts_anew) {
+    log::Info("endpoint_started_anew", {{"endpoint", endpoint.id}, {"started_at_ms", record.started_at_ms}});
+  }
   endpoint.zone = entry.zone;
   endpoint.kind = entry.kind;
-  endpoint.address = address;
+  endpoint.address = record.address;
+  endpoint.started_at_ms = std::max(endpoint.started_at_ms, record.started_at_ms);
+  if (moves || starts_anew || !endpoint.listed) {
+    endpoint.claimed_in = updates_;
+    claims_.push_back(entry.endpoint);
+  }
   endpoint.destination = entry.destination;
   if (entry.status == EndpointStatus::kRemoved) return Unlist(entry.endpoint);
   if (std::exchange(endpoint.listed, true)) return;
@@ -211,7 +275,7 @@
     const bool suspended = ids.count(endpoint.id) > 0;
     if (!endpoint.listed || suspended == (before.count(endpoint.id) > 0)) continue;
     update.entries.push_back(WithSuspension(endpoint));
-    if (suspended) client_.CloseIdle({endpoint.address, id});  // operators usually restart it next
+    if (suspended) client_.CloseIdle(PeerOf(endpoint, id));  // operators usually restart it next
   }
   return update;
 }
@@ -228,11 +292,14 @@
   update.scope = scope;
   update.from_discovery = list.from_list;
   if (list.from_list) version_ = {list.generation, loop_.Now()};
+  ++updates_;
+  claims_.clear();
   std::set<EndpointId> ids_in_update;
   for (const EndpointRecord& record : list.endpoints) {
     const auto id = ApplyRecord(record, list.stale, update);
     if (id) ids_in_update.insert(*id);
   }
+  RemoveDisplaced(update);
   if (scope != ListScope::kChanges) UnlistOthers(ids_in_update);
   ForgetEmptyDestinations();
   return update;
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -33,6 +33,8 @@
     int zone = 0;  // index into the settings' zones
     int kind = 0;  // index into the settings' endpoint kinds
     sockaddr_in address{};
+    std::int64_t started_at_ms = 0;  // the start of its process, as the list tells it
+    std::uint64_t claimed_in = 0;    // number of the update that gave it this address and process
     DestinationId destination = 0;
     bool listed = false;
     ListedEndpoint listed_endpoint;  // the list's entry, regardless of a suspension
@@ -62,7 +64,7 @@
   bool Contains(EndpointId id) const { return endpoints_.count(id) > 0; }
   // Its name in the list; empty for one that was forgotten.
   std::string NameOf(EndpointId id) const;
-  net::Peer PeerOf(EndpointId id) const { return {endpoints_.at(id).address, id}; }
+  net::Peer PeerOf(EndpointId id) const { return PeerOf(endpoints_.at(id), id); }
   bool Serves(DestinationId destination) const { return destinations_.count(destination) > 0; }
   const ListVersion& version() const { return version_; }
   bool empty() const { return destinations_.empty(); }
@@ -85,9 +87,18 @@
   // Applies one record. Returns the endpoint's number, or nullopt if the record is skipped. `stale` means
   // that the list is older than one published before.
   std::optional<EndpointId> ApplyRecord(const EndpointRecord& record, bool stale, ListUpdate& update);
+  static net::Peer PeerOf(const Endpoint& endpoint, EndpointId id) {
+    return {endpoint.address, id, endpoint.started_at_ms};
+  }
+  // An address belongs to the endpoint that the list has given it last, whatever it still says of others.
+  void RemoveDisplaced(ListUpdate& update);
+  std::optional<EndpointId> OwnerOf(const sockaddr_in& address) const;
+  bool IsOlderClaim(const Endpoint& claim, const Endpoint& than) const;
+  void Displace(EndpointId number, ListUpdate& update);
+  bool IsDisplaced(const EndpointRecord& record);
   std::optional<ListedEndpoint> ToListedEndpoint(const EndpointRecord& record, bool stale) const;
-  void RemoveReassigned(const std::string& id, EndpointId number, ListUpdate& update);
-  void UpdateEndpoint(Endpoint& endpoint, const ListedEndpoint& entry, const sockaddr_in& address);
+  void RemoveReassigned(std::string id, EndpointId number, ListUpdate& update);
+  void UpdateEndpoint(Endpoint& endpoint, const ListedEndpoint& entry, const EndpointRecord& record);
   void UnlistOthers(const std::set<EndpointId>& ids_in_update);
   void ForgetEmptyDestinations();
 
@@ -105,6 +116,11 @@
   std::unordered_map<std::string, EndpointId> ids_;
   std::unordered_map<EndpointId, Endpoint> endpoints_;
   EndpointId last_id_ = 0;
+  std::unordered_map<std::uint64_t, EndpointId> owners_;  // by address
+  std::unordered_map<std::string, std::uint64_t>
+      displaced_;                   // the address that an endpoint has lost, by its id
+  std::vector<EndpointId> claims_;  // of addresses, in the update being applied
+  std::uint64_t updates_ = 0;
   ListVersion version_;
   // Not forgotten yet: calls may be in flight, and the decision module may still know them.
   std::set<EndpointId> unlisted_;
--- a/src/relay/upstream_calls.cpp
+++ b/src/relay/upstream_calls.cpp
@@ -72,7 +72,8 @@
   UpstreamCall::Owner& owner = *this;
   EndpointTable::Endpoint& to = endpoints_.At(endpoint);
   ++to.calls_in_flight;
-  auto owned = std::make_unique<UpstreamCall>(loop_, client_, endpoint, to.address, std::move(batch), owner);
+  auto owned = std::make_unique<UpstreamCall>(loop_, client_, endpoint, endpoints_.PeerOf(endpoint),
+                                              std::move(batch), owner);
   UpstreamCall* call = owned.get();
   calls_.emplace(call, std::move(owned));
   for (const UpstreamCall::Attempt& a : call->attempts()) attempts_[{a.request_id, a.number}] = call;
@@ -88,6 +89,8 @@
   if (!request.IsOpen()) return "the request has ended";
   if (attempt.timeout_at <= now) return "the attempt has timed out";
   if (attempt.send_deadline <= now) return "the deduplication window has ended";
+  if (!(endpoints_.PeerOf(call.endpoint()) == call.peer()))
+    return "another process has taken the endpoint's place";
   if (!decisions_.router().MaySend(now, call.endpoint()))
     return "the endpoint is draining or removed, or a Retry-After is in force";
   if (!decisions_.router().MaySendAttempt(now, attempt.request_id, attempt.number))
@@ -281,7 +284,10 @@
   ++counters_.health_checks;
   EndpointTable::Endpoint& to = endpoints_.At(endpoint);
   ++to.calls_in_flight;
-  const auto may_send = [this, endpoint] { return decisions_.router().MaySend(loop_.Now(), endpoint); };
+  const net::Peer peer = endpoints_.PeerOf(endpoint);
+  const auto may_send = [this, endpoint, peer] {
+    return endpoints_.PeerOf(endpoint) == peer && decisions_.router().MaySend(loop_.Now(), endpoint);
+  };
   const auto done = [this](HealthCheckCall& ended, const HealthCheckOutcome& outcome) {
     --endpoints_.At(outcome.endpoint).calls_in_flight;
     const auto it = health_checks_.find(&ended);
@@ -289,7 +295,7 @@
     health_checks_.erase(it);
     decisions_.Post(outcome);
   };
-  auto owned = std::make_unique<HealthCheckCall>(loop_, client_, endpoint, to.address,
+  auto owned = std::make_unique<HealthCheckCall>(loop_, client_, endpoint, peer,
                                                  config_.limits.upstream_connect_timeout, may_send, done);
   HealthCheckCall* check = owned.get();
   health_checks_.emplace(check, std::move(owned));
--- a/src/upstream/health_check_call.cpp
+++ b/src/upstream/health_check_call.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 HealthCheckCall::HealthCheckCall(net::EventLoop& loop, net::HttpClient& client, EndpointId endpoint,
-                                 const sockaddr_in& to, Seconds timeout, MaySend may_send, Done done)
+                                 const net::Peer& to, Seconds timeout, MaySend may_send, Done done)
     : loop_(loop),
       client_(client),
       endpoint_(endpoint),
@@ -41,7 +41,7 @@
     client_.Abandon(*this);
     Finish(Outcome::kTimeout);
   });
-  client_.Start({to_, endpoint_}, *this);
+  client_.Start(to_, *this);
 }
 
 // A health check counts as a call: it is not sent if the endpoint began to drain or sent a Retry-After while
@@ -51,7 +51,7 @@
     Finish(Outcome::kNotSent);
     return {};
   }
-  return endpoint_protocol::FormatHealthCheck(to_);
+  return endpoint_protocol::FormatHealthCheck(to_.address);
 }
 
 void HealthCheckCall::OnResponse(net::HttpMessage& response) {
--- a/src/upstream/health_check_call.h
+++ b/src/upstream/health_check_call.h
@@ -19,7 +19,7 @@
   using Done = std::function<void(HealthCheckCall&, const HealthCheckOutcome&)>;
 
   // `timeout`: seconds from construction until the response must have arrived. `done` is called once.
-  HealthCheckCall(net::EventLoop& loop, net::HttpClient& client, EndpointId endpoint, const sockaddr_in& to,
+  HealthCheckCall(net::EventLoop& loop, net::HttpClient& client, EndpointId endpoint, const net::Peer& to,
                   Seconds timeout, MaySend may_send, Done done);
   ~HealthCheckCall() override;
   void Start();
@@ -33,7 +33,7 @@
   net::EventLoop& loop_;
   net::HttpClient& client_;
   const EndpointId endpoint_;
-  const sockaddr_in to_;
+  const net::Peer to_;
   const Seconds timeout_;
   const Seconds started_;
   const MaySend may_send_;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-UpstreamCall::UpstreamCall(net::EventLoop& loop, HttpClient& client, EndpointId endpoint,
-                           const sockaddr_in& to, std::vector<Attempt> attempts, Owner& owner)
+UpstreamCall::UpstreamCall(net::EventLoop& loop, HttpClient& client, EndpointId endpoint, const net::Peer& to,
+                           std::vector<Attempt> attempts, Owner& owner)
     : loop_(loop),
       client_(client),
       endpoint_(endpoint),
@@ -43,7 +43,7 @@
       Abandon(*attempt, Outcome::kTimeout, Outcome::kConnectFailed);
     });
   }
-  client_.Start({to_, endpoint_}, *this);
+  client_.Start(to_, *this);
 }
 
 void UpstreamCall::Cancel(RequestId request, int attempt) {
@@ -110,9 +110,9 @@
 
 std::string UpstreamCall::FormatRequests(const std::vector<const Attempt*>& attempts,
                                          long remaining_ms) const {
-  if (!is_batch_) return endpoint_protocol::FormatCall(to_, *attempts.front(), remaining_ms);
+  if (!is_batch_) return endpoint_protocol::FormatCall(to_.address, *attempts.front(), remaining_ms);
   const std::vector<const endpoint_protocol::OutgoingRequest*> requests(attempts.begin(), attempts.end());
-  return endpoint_protocol::FormatBatchCall(to_, requests, remaining_ms);
+  return endpoint_protocol::FormatBatchCall(to_.address, requests, remaining_ms);
 }
 
 bool UpstreamCall::RequiresNewConnection() const {
@@ -134,12 +134,12 @@
   if (response.status == kHttpOk && is_batch_) {
     OnBatchResponse(response, retry_after);
   } else {
-    CompleteAll(endpoint_protocol::ResultOf(to_, response), retry_after, PairingByOrder());
+    CompleteAll(endpoint_protocol::ResultOf(to_.address, response), retry_after, PairingByOrder());
   }
 }
 
 void UpstreamCall::OnBatchResponse(const net::HttpMessage& response, Seconds retry_after) {
-  endpoint_protocol::BatchStates states = endpoint_protocol::ParseBatchStates(to_, response);
+  endpoint_protocol::BatchStates states = endpoint_protocol::ParseBatchStates(to_.address, response);
   for (Attempt& attempt : attempts_) {
     const AttemptResult result = endpoint_protocol::ResultOfBatchState(states[attempt.id]);
     if (attempt.pending) {
--- a/src/upstream/upstream_call.h
+++ b/src/upstream/upstream_call.h
@@ -58,11 +58,12 @@
     virtual void OnCallEnded(UpstreamCall& call) = 0;
   };
 
-  UpstreamCall(net::EventLoop& loop, net::HttpClient& client, EndpointId endpoint, const sockaddr_in& to,
+  UpstreamCall(net::EventLoop& loop, net::HttpClient& client, EndpointId endpoint, const net::Peer& to,
                std::vector<Attempt> attempts, Owner& owner);
   ~UpstreamCall() override;
 
   EndpointId endpoint() const { return endpoint_; }
+  const net::Peer& peer() const { return to_; }
   // The time until which the endpoint may respond, as stated to it.
   Seconds stated_timeout_at() const { return stated_timeout_at_; }
   const std::vector<Attempt>& attempts() const { return attempts_; }
@@ -92,7 +93,7 @@
   net::EventLoop& loop_;
   net::HttpClient& client_;
   const EndpointId endpoint_;
-  const sockaddr_in to_;
+  const net::Peer to_;
   std::vector<Attempt> attempts_;
   Owner& owner_;
   const Seconds started_;
--- a/tests/upstream/upstream_call_test.cpp
+++ b/tests/upstream/upstream_call_test.cpp
@@ -63,7 +63,7 @@
     two.request_id = 2;
     two.id = "m2";
     one.timeout_at = two.timeout_at = loop.Now() + 60;
-    UpstreamCall call(loop, client, 1, address, {one, two}, owner);
+    UpstreamCall call(loop, client, 1, {address, 1}, {one, two}, owner);
     call.Start();
     for (int i = 0; i < 2000 && owner.outcomes.size() + sendable_id.size() / 2 < 2; ++i) loop.RunOnce(0.01);
     REQUIRE(owner.outcomes.size() == 2 - sendable_id.size() / 2);
@@ -100,7 +100,7 @@
     attempt.request_id = 1;
     attempt.id = "m1";
     attempt.timeout_at = loop.Now() + 60;
-    UpstreamCall call(loop, client, 1, listener.address(), {attempt}, owner);
+    UpstreamCall call(loop, client, 1, {listener.address(), 1}, {attempt}, owner);
     call.Start();
     for (int i = 0; i < 2000 && owner.outcomes.empty(); ++i) loop.RunOnce(0.01);
     REQUIRE(owner.outcomes.size() == 1);
@@ -120,7 +120,7 @@
   net::HttpClient client(loop, BoundsOf(4));
   std::vector<Outcome> outcomes;
   HealthCheckCall health_check(
-      loop, client, 1, listener.address(), 60, [] { return false; },
+      loop, client, 1, {listener.address(), 1}, 60, [] { return false; },
       [&](HealthCheckCall&, const HealthCheckOutcome& outcome) { outcomes.push_back(outcome.outcome); });
   health_check.Start();
   for (int i = 0; i < 2000 && (accepted.empty() || outcomes.empty()); ++i) loop.RunOnce(0.01);
