An exit on an error while running is no longer logged as a failed start

Callers saw: nothing told whether a process had ended by itself. Cause: an exception ended the program with 'not_started' although it had been serving. Change: the event is 'ended_by_error' once the event loop runs. Measured: read only; no way is known to make a running relay throw.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -74,7 +74,8 @@
   return std::string(value);
 }
 
-int Run(const opalroute::OperatorSettings& settings) {
+// `started` tells how far the program has come if it throws.
+int Run(const opalroute::OperatorSettings& settings, bool& started) {
   const sigset_t blocked = BlockSignals();
   opalroute::net::ReturnLargeBlocksWhenFreed();
   const opalroute::Config config = opalroute::config::Load(EnvironmentVariable);
@@ -86,6 +87,7 @@
       [&] { relay.Reload([] { return opalroute::config::Reload(EnvironmentVariable); }); });
   opalroute::log::Info("listening",
                        {{"name", config.name}, {"address", opalroute::net::FormatAddress(relay.address())}});
+  started = true;
   loop.Run();
   opalroute::log::Info("counters", {{"all", relay.counters().ToJson()}});
   return 0;
@@ -113,10 +115,11 @@
   opalroute::log::Start(
       settings.log_json ? opalroute::log::LineFormat::kJson : opalroute::log::LineFormat::kText,
       spdlog::level::from_str(settings.log_level));
+  bool started = false;
   try {
-    return Run(settings);
+    return Run(settings, started);
   } catch (const std::exception& error) {
-    opalroute::log::Error("not_started", {{"why", error.what()}});
+    opalroute::log::Error(started ? "ended_by_error" : "not_started", {{"why", error.what()}});
     return 1;
   }
 }
