--- a/tests/lab/hostile_clients_processes_test.cpp
+++ b/tests/lab/hostile_clients_processes_test.cpp
@@ -18,6 +18,7 @@
 constexpr Seconds kMemoryReturnedWithin = 5;
 constexpr Seconds kCrowdTime = 2.5;
 constexpr Seconds kPunctualInterval = 0.05;
+constexpr Seconds kTimeBetweenLists = 0.1;
 constexpr double kBytesPerKilobyte = 1024;
 constexpr double kBytesPerMegabyte = 1e6;
 constexpr double kMillisecondsPerSecond = 1000;
@@ -60,6 +61,25 @@
     CHECK(figures.other_statuses == 0);
   }
 
+  // Publishes the complete list of that many endpoints, under new ids each time.
+  void PublishList(int generation, int endpoints) {
+    std::string list = "{\"generation\":" + std::to_string(generation) + ",\"reset\":true,\"instances\":[";
+    for (int i = 0; i < endpoints; ++i) {
+      list += std::string(i > 0 ? "," : "") + "{\"instanceId\":\"s-" + std::to_string(generation) + "-" +
+              std::to_string(i) + "\",\"hostPort\":\"127.0.0.1:" + std::to_string(10'000 + i) +
+              "\",\"zone\":\"ground\",\"machineType\":\"small\",\"cell\":" + std::to_string(100 + i / 4) +
+              ",\"lifecycle\":\"ready\",\"weight\":1000,\"startedAtMs\":0}";
+    }
+    relay_.discovery().Publish(list + "]}", list + "]}");
+    relay_.RunFor(kTimeBetweenLists);
+  }
+  void KillAndRestart() { relay_.KillAndRestart(); }
+  void CheckPeak() {
+    const double peak_mb = PeakMegabytes();
+    MESSAGE("peak ", peak_mb, " MB of ", limits_.memory_mb);
+    if (kMeasuresMemory) CHECK(peak_mb <= kMaxPeakShare * limits_.memory_mb);
+  }
+
   // The clients leave. The peak includes the time in which the relay reads what they have left behind.
   void CheckMemory() {
     crowd_->Leave();
@@ -120,6 +140,18 @@
   for (const int memory_mb : {32, 64, 192}) RunCrowd({memory_mb, 1024}, kCrowdKinds, kCrowd);
 }
 
+TEST_CASE("processes: a mixed crowd, large endpoint lists and kills together do not exceed memory_mb") {
+  constexpr int kEndpoints = 3200;
+  constexpr int kLists = 16;
+  SmallRelay relay({32, 1024});
+  relay.StartCrowd(kCrowdKinds, kCrowd);
+  for (int list = 0; list < kLists; ++list) relay.PublishList(100 + list, kEndpoints);
+  relay.CheckPeak();
+  relay.KillAndRestart();
+  for (int list = kLists; list < 2 * kLists; ++list) relay.PublishList(100 + list, kEndpoints);
+  relay.CheckPeak();
+}
+
 TEST_CASE("processes: clients at full speed neither delay a regular client's answers nor fill the memory") {
   for (const HostileKind kind : {HostileKind::kUnsoundFlood, HostileKind::kSoundFlood})
     RunCrowd({32, 1024}, {kind}, kFloods);
--- a/tests/support/fake_discovery.h
+++ b/tests/support/fake_discovery.h
@@ -78,7 +78,7 @@
         : service_(service), number_(number), parser_(net::HttpParser::Kind::kRequest, kFakeHttpBounds) {}
     ~Session() override { service_.loop_.Cancel(timer_); }
     bool Open(int fd) {
-      connection_ = net::Connection::Adopt(service_.loop_, fd, *this, {64 * 1024, 64 * 1024});
+      connection_ = net::Connection::Adopt(service_.loop_, fd, *this, {64 * 1024, 4 << 20});
       return connection_ != nullptr;
     }
     void Close() {
