A state folder larger than a quarter of the memory counts as one on a disk

Cause: the whole of disk_mb was taken off the memory, so the shares fell to their least. Change: files take at most a quarter of the usable memory.

--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "cli/operator_options.h"
+#include "config/memory_limits.h"
 #include "log/log.h"
 
 namespace opalroute {
@@ -89,6 +90,24 @@
 }
 
 // Guards against a client that forges a log line by sending text with a newline.
+TEST_CASE("configuration: what buffers may hold follows from the memory and the disk") {
+  const auto buffers = [](std::size_t memory_bytes, std::size_t disk_bytes) {
+    Limits limits;
+    limits.disk_bytes = disk_bytes;
+    config::ApplyMemoryLimit(memory_bytes, limits);
+    const MemoryLimits& memory = limits.memory;
+    CHECK(limits.client_connections <= 480);
+    return memory.clients + memory.requests + memory.endpoints + memory.discovery + memory.operators;
+  };
+  CHECK(buffers(32'000'000, 3'000'000) == doctest::Approx(12'600'000));  // 0.8 of it, less files and program
+  CHECK(buffers(192'000'000, 3'000'000) == doctest::Approx(140'600'000));
+  CHECK(buffers(192'000'000, 1'000'000'000) == doctest::Approx(105'200'000));  // files lie on a disk
+  Limits scarce;
+  config::ApplyMemoryLimit(16'000'000, scarce);
+  CHECK(scarce.memory_is_scarce);
+  CHECK(scarce.client_connections > 50);
+}
+
 TEST_CASE("log lines escape what others send") {
   const std::string text = "a\nb\"\xff";
   CHECK(log::FormatLine(log::LineFormat::kText, "bad_request", {{"why", text}, {"n", 3}}) ==
