--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -65,9 +65,10 @@
       server_(loop, config, counters_, memory_, intake_) {
   counters_.classes.resize(config.classes.size());
   log::Info("clock", {{"resumed", clock_.resumed()}, {"wall_step_ms", clock_.WallStep() / 1000}});
-  if (config.limits.memory_is_scarce)
+  if (config.limits.memory_is_scarce) {
     log::Warn("memory_limit_small",
               {{"key", "limits.memory_mb"}, {"why", "less than the program and its files need"}});
+  }
   clock_persister_.emplace(loop, config, clock_);
   if (config.peer_listen) {
     StartUnlessUnsupported("gossip between relays", [this] { peers_.Listen(); });
