Laboratory: an answer in the instant of its time-out is counted once

Cause: in the whole sanitized run the test hostile_clients_processes ended with a null member access: PunctualClient's timer fired in the iteration of the loop in which the answer had been read, and ended a request that was gone. Change: an answer cancels the timer.

--- a/lab/sockets/punctual_client.cpp
+++ b/lab/sockets/punctual_client.cpp
@@ -34,7 +34,11 @@
 
  private:
   std::string OnReady() override { return text_; }
-  void OnResponse(net::HttpMessage& response) override { owner_.End(*this, response.status); }
+  // The timer may be due in the same iteration of the loop.
+  void OnResponse(net::HttpMessage& response) override {
+    loop_.Cancel(timer_);
+    owner_.End(*this, response.status);
+  }
   // The relay may close a connection between requests. A request that crosses that is sent once more.
   void OnFailure(net::HttpClient::Failure, int) override {
     if (!exchange().IsFirst() && !std::exchange(sent_again_, true))
