Tests: one function gives the bounds of fake endpoints

Change: FakeServerBounds in tests/support/fake_discovery.h serves all three; no check, bound or value changes. Measured: client_gone_processes, endpoint_identity_processes and endpoint_list_processes pass, side by side, plain.

--- a/tests/lab/client_gone_processes_test.cpp
+++ b/tests/lab/client_gone_processes_test.cpp
@@ -27,7 +27,7 @@
 class CountingEndpoint : private net::HttpServer::Handler {
  public:
   explicit CountingEndpoint(net::EventLoop& loop)
-      : server_(loop, *net::ParseAddress("127.0.0.1:0"), Bounds(), *this) {}
+      : server_(loop, *net::ParseAddress("127.0.0.1:0"), FakeServerBounds(), *this) {}
   std::string address() const { return net::FormatAddress(server_.address()); }
   const std::map<std::string, int>& calls() const { return calls_; }
   // Calls beyond the first one of each request.
@@ -38,18 +38,6 @@
   }
 
  private:
-  static net::ServerBounds Bounds() {
-    net::ServerBounds bounds;
-    bounds.http = kFakeHttpBounds;
-    bounds.response_bytes = 4096;
-    bounds.connections = 256;
-    bounds.requests_per_turn = 16;
-    bounds.first_request_timeout = bounds.request_timeout = bounds.idle_timeout =
-        bounds.crowded_idle_timeout = 60;
-    bounds.linger_timeout = 0.5;
-    bounds.linger_bytes = 4096;
-    return bounds;
-  }
   net::HttpResponse OnRequest(net::HttpMessage& request) override {
     const std::string* id = request.Header("X-Txn");
     if (id != nullptr) ++calls_[*id];
--- a/tests/lab/endpoint_identity_processes_test.cpp
+++ b/tests/lab/endpoint_identity_processes_test.cpp
@@ -21,7 +21,7 @@
 class EndpointProcess : private net::HttpServer::Handler {
  public:
   EndpointProcess(net::EventLoop& loop, const sockaddr_in& address, std::string prefix)
-      : loop_(loop), prefix_(std::move(prefix)), server_(loop, address, Bounds(), *this) {}
+      : loop_(loop), prefix_(std::move(prefix)), server_(loop, address, FakeServerBounds(), *this) {}
 
   sockaddr_in address() const { return server_.address(); }
   int calls() const { return calls_; }
@@ -36,18 +36,6 @@
   void StopAccepting() { server_.StopAccepting(); }
 
  private:
-  static net::ServerBounds Bounds() {
-    net::ServerBounds bounds;
-    bounds.http = kFakeHttpBounds;
-    bounds.response_bytes = 4096;
-    bounds.connections = 256;
-    bounds.requests_per_turn = 16;
-    bounds.first_request_timeout = bounds.request_timeout = bounds.idle_timeout =
-        bounds.crowded_idle_timeout = 60;
-    bounds.linger_timeout = 0.5;
-    bounds.linger_bytes = 4096;
-    return bounds;
-  }
   net::HttpResponse OnRequest(net::HttpMessage& request) override {
     const std::string* id = request.Header("X-Txn");
     if (id == nullptr) return net::PlainTextResponse(200, "alive");
--- a/tests/support/fake_discovery.h
+++ b/tests/support/fake_discovery.h
@@ -22,6 +22,20 @@
 
 constexpr net::HttpBounds kFakeHttpBounds{16 * 1024, 64, 1 << 20};
 
+// The bounds of a fake endpoint: it keeps connections open for long.
+inline net::ServerBounds FakeServerBounds() {
+  net::ServerBounds bounds;
+  bounds.http = kFakeHttpBounds;
+  bounds.response_bytes = 4096;
+  bounds.connections = 256;
+  bounds.requests_per_turn = 16;
+  bounds.first_request_timeout = bounds.request_timeout = bounds.idle_timeout = bounds.crowded_idle_timeout =
+      60;
+  bounds.linger_timeout = 0.5;
+  bounds.linger_bytes = 4096;
+  return bounds;
+}
+
 // A discovery service for one relay. Its list has two endpoints of one destination; the first can start to
 // drain.
 class FakeDiscovery {
@@ -186,24 +200,12 @@
 class FakeEndpoint : private net::HttpServer::Handler {
  public:
   explicit FakeEndpoint(net::EventLoop& loop)
-      : loop_(loop), server_(loop, *net::ParseAddress("127.0.0.1:0"), Bounds(), *this) {}
+      : loop_(loop), server_(loop, *net::ParseAddress("127.0.0.1:0"), FakeServerBounds(), *this) {}
   std::string address() const { return net::FormatAddress(server_.address()); }
   net::Seconds latest_call() const { return latest_call_; }
   int calls() const { return calls_; }
 
  private:
-  static net::ServerBounds Bounds() {
-    net::ServerBounds bounds;
-    bounds.http = kFakeHttpBounds;
-    bounds.response_bytes = 4096;
-    bounds.connections = 256;
-    bounds.requests_per_turn = 16;
-    bounds.first_request_timeout = bounds.request_timeout = bounds.idle_timeout =
-        bounds.crowded_idle_timeout = 60;
-    bounds.linger_timeout = 0.5;
-    bounds.linger_bytes = 4096;
-    return bounds;
-  }
   net::HttpResponse OnRequest(net::HttpMessage&) override {
     latest_call_ = loop_.Now();
     ++calls_;
