--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -404,6 +404,8 @@
     """Runs `case(record, folder)`, a coroutine that returns a list of breaks."""
     record = Record(os.path.join(HERE, "record.txt"))
     folder = tempfile.mkdtemp(prefix="review-")
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))  # the case is cancelled, and ends what it started
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record, folder), limit))
     except Exception as error:  # the case couldn't run
