--- a/review/8/case.py
+++ b/review/8/case.py
@@ -61,4 +61,4 @@
     return breaks
 
 
-run(case)
+run(case, "record.txt")
--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -400,9 +400,9 @@
         self.transport.sendto(head + data[12:at + 5] + b"".join(answers), address)
 
 
-def run(case, limit=110):
-    """Runs `case(record, folder)`, a coroutine that returns a list of breaks."""
-    record = Record(os.path.join(HERE, "record.txt"))
+def run(case, record_file, limit=110):
+    """Runs `case(record, folder)`, a coroutine that returns a list of breaks; `record_file` is in the folder of the case."""
+    record = Record(os.path.join(HERE, record_file))
     folder = tempfile.mkdtemp(prefix="review-")
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: sys.exit(2))  # the case is cancelled, and ends what it started
