SRV takes no endpoint from an address that the list has for another destination

Cause: the merge decided per destination with that destination's own addresses and withdrawals alone. Nobody kept who has an address over the whole list, so SRV's later claim displaced the list's.

Change: ListedAddresses knows for all destinations which endpoint has each address and which were withdrawn. Targets at another destination's address are passed over, an added endpoint ends when the list names its address, a listed one that lost its address is not published meanwhile. The relay's table and the merge compare claims by the same function. A warning, and `targets_of_others` on /pool.

--- a/src/discovery/endpoint_merge.cpp
+++ b/src/discovery/endpoint_merge.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 MergedDestination& EndpointMerge::DestinationOf(long long id) {
-  return destinations_.try_emplace(id, id, options_).first->second;
+  return destinations_.try_emplace(id, id, options_, addresses_).first->second;
 }
 
 void EndpointMerge::AddOwnAddress(long long destination, const sockaddr_in& address) {
@@ -23,22 +23,22 @@
 }
 
 // Withdraws an endpoint id from its previous destination if the list now assigns it to another one.
-void EndpointMerge::WithdrawFromPreviousDestination(double now, const EndpointRecord& record,
+void EndpointMerge::WithdrawFromPreviousDestination(const EndpointRecord& record,
                                                     std::set<long long>& affected) {
   const auto [entry, inserted] = destination_by_id_.emplace(record.id, record.destination);
   if (!inserted && entry->second != record.destination) {
-    DestinationOf(entry->second).Withdraw(now, record.id);
+    DestinationOf(entry->second).Withdraw(record.id);
     affected.insert(entry->second);
     entry->second = record.destination;
   }
   if (record.status == Status::kRemoved) destination_by_id_.erase(record.id);
 }
 
-void EndpointMerge::WithdrawUnlisted(double now, const EndpointListUpdate& list) {
+void EndpointMerge::WithdrawUnlisted(const EndpointListUpdate& list) {
   std::map<long long, std::set<std::string>> listed_ids;  // by destination
   for (const EndpointRecord& record : list.endpoints) listed_ids[record.destination].insert(record.id);
   for (auto& [id, destination] : destinations_) {
-    for (const std::string& list_id : destination.WithdrawUnlisted(now, listed_ids[id])) {
+    for (const std::string& list_id : destination.WithdrawUnlisted(listed_ids[id])) {
       const auto entry = destination_by_id_.find(list_id);
       if (entry != destination_by_id_.end() && entry->second == id) destination_by_id_.erase(entry);
     }
@@ -46,15 +46,17 @@
 }
 
 EndpointListUpdate EndpointMerge::OnList(double now, const EndpointListUpdate& update) {
+  addresses_.Apply(now, update);
   std::set<long long> affected;
   for (const EndpointRecord& record : update.endpoints) {
-    WithdrawFromPreviousDestination(now, record, affected);
-    DestinationOf(record.destination).ApplyRecord(now, record);
+    WithdrawFromPreviousDestination(record, affected);
+    DestinationOf(record.destination).ApplyRecord(record);
     affected.insert(record.destination);
   }
-  if (update.complete) {
-    WithdrawUnlisted(now, update);
-    for (const auto& [id, destination] : destinations_) affected.insert(id);
+  if (update.complete) WithdrawUnlisted(update);
+  for (auto& [id, destination] : destinations_) {
+    const bool reassigned = destination.ApplyReassignments();
+    if (reassigned || update.complete) affected.insert(id);
   }
   EndpointListUpdate changes;
   for (const long long id : affected) {
@@ -66,7 +68,9 @@
 
 EndpointListUpdate EndpointMerge::OnTargets(double now, long long destination,
                                             const std::vector<SrvTarget>& targets, bool complete) {
-  ignored_targets_ += DestinationOf(destination).ApplyTargets(now, targets, complete);
+  const IgnoredTargets ignored = DestinationOf(destination).ApplyTargets(now, targets, complete);
+  ignored_targets_.unassigned += ignored.unassigned;
+  ignored_targets_.reassigned += ignored.reassigned;
   EndpointListUpdate changes;
   PublishChanges(destination, changes);
   return changes;
--- a/src/discovery/endpoint_merge.h
+++ b/src/discovery/endpoint_merge.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "discovery/endpoint_source.h"
+#include "discovery/listed_addresses.h"
 #include "discovery/merged_destination.h"
 #include "discovery/srv_target.h"
 
@@ -19,7 +20,8 @@
 
 class EndpointMerge {
  public:
-  explicit EndpointMerge(const EndpointMergeOptions& options) : options_(options) {}
+  explicit EndpointMerge(const EndpointMergeOptions& options)
+      : options_(options), addresses_(options.tombstone_time) {}
   EndpointMerge(const EndpointMerge&) = delete;
   EndpointMerge& operator=(const EndpointMerge&) = delete;
 
@@ -40,24 +42,24 @@
   EndpointListUpdate OnNoAnswer(double now, long long destination, bool expired);
 
   std::vector<MergedEndpoint> Endpoints() const;  // by destination and id
-  // The number of targets ignored so far (MergedDestination::ApplyTargets).
-  long ignored_targets() const { return ignored_targets_; }
+  // The numbers of targets ignored so far.
+  const IgnoredTargets& ignored_targets() const { return ignored_targets_; }
 
  private:
   using Records = std::map<std::string, EndpointRecord>;  // by id
 
   MergedDestination& DestinationOf(long long id);
-  void WithdrawFromPreviousDestination(double now, const EndpointRecord& record,
-                                       std::set<long long>& affected);
-  void WithdrawUnlisted(double now, const EndpointListUpdate& list);
+  void WithdrawFromPreviousDestination(const EndpointRecord& record, std::set<long long>& affected);
+  void WithdrawUnlisted(const EndpointListUpdate& list);
   void PublishChanges(long long id, EndpointListUpdate& changes);
   EndpointListUpdate PublishAll();
 
   const EndpointMergeOptions options_;
+  ListedAddresses addresses_;
   std::map<long long, MergedDestination> destinations_;
   std::map<long long, Records> published_;                        // by destination, as last published
   std::unordered_map<std::string, long long> destination_by_id_;  // by id in the list
-  long ignored_targets_ = 0;
+  IgnoredTargets ignored_targets_;
 };
 
 }  // namespace opalroute
--- a/src/discovery/merged_destination.cpp
+++ b/src/discovery/merged_destination.cpp
@@ -7,6 +7,8 @@
 
 namespace opalroute {
 
+using net::KeyOf;
+
 namespace {
 
 using Status = EndpointRecord::Status;
@@ -32,21 +34,14 @@
   drained = false;
 }
 
-MergedDestination::AddressKey MergedDestination::KeyOf(const sockaddr_in& address) {
-  return static_cast<AddressKey>(address.sin_addr.s_addr) << 16 | address.sin_port;
-}
-
 void MergedDestination::AddOwnAddress(const sockaddr_in& address) { own_addresses_.insert(KeyOf(address)); }
 
 // ---- the endpoint list -----------------------------------------------------------------------------------
 
-void MergedDestination::Withdraw(double now, const std::string& list_id) {
+void MergedDestination::Withdraw(const std::string& list_id) {
   const auto alias = aliases_.find(list_id);
-  const auto it = endpoints_.find(alias == aliases_.end() ? list_id : alias->second);
+  endpoints_.erase(alias == aliases_.end() ? list_id : alias->second);
   if (alias != aliases_.end()) aliases_.erase(alias);
-  if (it == endpoints_.end()) return;
-  tombstones_[KeyOf(it->second.record.address)] = now + options_.tombstone_time;
-  endpoints_.erase(it);
 }
 
 // Returns the id under which a listed endpoint is published. An endpoint that SRV added before the list named
@@ -62,7 +57,7 @@
     aliases_.erase(alias);
     return record.id;
   }
-  if (Contains(record.id)) return record.id;
+  if (endpoints_.count(record.id) > 0) return record.id;
   for (const auto& [id, endpoint] : endpoints_) {
     if (endpoint.added && KeyOf(endpoint.record.address) == key) aliases_[record.id] = id;
   }
@@ -70,38 +65,53 @@
   return added == aliases_.end() ? record.id : added->second;
 }
 
-void MergedDestination::ApplyRecord(double now, const EndpointRecord& record) {
-  if (record.status == Status::kRemoved) return Withdraw(now, record.id);
-  tombstones_.erase(KeyOf(record.address));
+void MergedDestination::ApplyRecord(const EndpointRecord& record) {
+  if (record.status == Status::kRemoved) return Withdraw(record.id);
   const std::string id = ResolveId(record);
   Endpoint& endpoint = endpoints_[id];
   const bool moved = !endpoint.record.id.empty() && KeyOf(endpoint.record.address) != KeyOf(record.address);
   if (moved) endpoint.ResetAnswers();  // they named the old address
   endpoint.record = record;
   endpoint.record.id = id;
+  endpoint.list_id = record.id;
   endpoint.added = false;
 }
 
-std::vector<std::string> MergedDestination::WithdrawUnlisted(double now,
-                                                             const std::set<std::string>& listed_ids) {
-  std::map<std::string, std::string> list_ids;  // by published id
-  for (const auto& [list_id, id] : aliases_) list_ids[id] = list_id;
+std::vector<std::string> MergedDestination::WithdrawUnlisted(const std::set<std::string>& listed_ids) {
   std::vector<std::string> unlisted;
   for (const auto& [id, endpoint] : endpoints_) {
-    const auto alias = list_ids.find(id);
-    const std::string& list_id = alias == list_ids.end() ? id : alias->second;
-    if (!endpoint.added && listed_ids.count(list_id) == 0) unlisted.push_back(list_id);
+    if (!endpoint.added && listed_ids.count(endpoint.list_id) == 0) unlisted.push_back(endpoint.list_id);
   }
-  for (const std::string& list_id : unlisted) Withdraw(now, list_id);
+  for (const std::string& list_id : unlisted) Withdraw(list_id);
   return unlisted;
 }
 
+bool MergedDestination::ApplyReassignments() {
+  bool changed = false;
+  for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+    Endpoint& endpoint = it->second;
+    const bool listed = endpoint.added && addresses_.IsListed(endpoint.record.address);
+    const bool reassigned = !endpoint.added && addresses_.IsReassigned(endpoint.list_id);
+    changed = changed || listed || reassigned != endpoint.reassigned;
+    endpoint.reassigned = reassigned;
+    it = listed ? endpoints_.erase(it) : std::next(it);
+  }
+  return changed;
+}
+
 // ---- SRV answers -----------------------------------------------------------------------------------------
 
-bool MergedDestination::MayAdd(double now, AddressKey key) const {
-  const auto tombstone = tombstones_.find(key);
-  const bool withdrawn = tombstone != tombstones_.end() && now < tombstone->second;
-  return own_addresses_.count(key) > 0 && !withdrawn;
+// Returns the targets without those at addresses that the list has given to another destination: there, SRV
+// names an endpoint that has gone.
+std::vector<SrvTarget> MergedDestination::WithoutReassigned(const std::vector<SrvTarget>& targets) const {
+  std::vector<SrvTarget> usable;
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(usable),
+               [&](const SrvTarget& target) { return !addresses_.BelongsToAnother(target.address, id_); });
+  return usable;
+}
+
+bool MergedDestination::MayAdd(double now, const sockaddr_in& address) const {
+  return own_addresses_.count(KeyOf(address)) > 0 && !addresses_.WithdrawnRecently(now, address);
 }
 
 void MergedDestination::AddEndpoint(double now, const std::string& id, const sockaddr_in& address) {
@@ -121,7 +131,7 @@
     const AddressKey key = KeyOf(target.address);
     const auto existing = known.find(key);
     if (existing != known.end() && !existing->second->added) continue;
-    if (!MayAdd(now, key)) {
+    if (!MayAdd(now, target.address)) {
       ++ignored;
       continue;
     }
@@ -164,14 +174,18 @@
   }
 }
 
-long MergedDestination::ApplyTargets(double now, const std::vector<SrvTarget>& targets, bool complete) {
+IgnoredTargets MergedDestination::ApplyTargets(double now, const std::vector<SrvTarget>& named,
+                                               bool complete) {
+  const std::vector<SrvTarget> targets = WithoutReassigned(named);
   // If several targets share an address, the one with the best priority.
   std::map<AddressKey, const SrvTarget*> by_address;
   for (const SrvTarget& target : targets) {
     const auto [it, inserted] = by_address.emplace(KeyOf(target.address), &target);
     if (!inserted && target.priority < it->second->priority) it->second = &target;
   }
-  const long ignored = AddOwnTargets(now, targets);
+  IgnoredTargets ignored;
+  ignored.reassigned = static_cast<long>(named.size() - targets.size());
+  ignored.unassigned = AddOwnTargets(now, targets);
   const bool names_one_in_service = std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
     const Endpoint& endpoint = entry.second;
     return by_address.count(KeyOf(endpoint.record.address)) > 0 && endpoint.ListedInService();
@@ -320,10 +334,16 @@
   return record;
 }
 
+bool MergedDestination::Contains(const std::string& id) const {
+  const auto it = endpoints_.find(id);
+  return it != endpoints_.end() && !it->second.reassigned;
+}
+
 std::vector<MergedEndpoint> MergedDestination::Endpoints() const {
   std::vector<MergedEndpoint> endpoints;
   endpoints.reserve(endpoints_.size());
   for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.reassigned) continue;
     endpoints.push_back({MergedRecord(endpoint), endpoint.reason});
   }
   return endpoints;
--- a/src/discovery/merged_endpoint_source.cpp
+++ b/src/discovery/merged_endpoint_source.cpp
@@ -81,17 +81,30 @@
 void MergedEndpointSource::OnTargets(long long destination, const std::vector<SrvTarget>& targets,
                                      bool complete) {
   if (failures_.erase(destination) > 0) log::Info("srv_answered_again", {{"destination", destination}});
-  const long ignored_before = merge_.ignored_targets();
+  const IgnoredTargets before = merge_.ignored_targets();
   EndpointListUpdate update = merge_.OnTargets(loop_.Now(), destination, targets, complete);
-  const long ignored = merge_.ignored_targets() - ignored_before;
-  if (ignored > 0) {
+  const IgnoredTargets& after = merge_.ignored_targets();
+  const long unassigned = after.unassigned - before.unassigned;
+  if (unassigned > 0) {
     log::Debug(
         "srv_targets_ignored",
-        {{"destination", destination}, {"targets", ignored}, {"why", "not assigned to the destination"}});
+        {{"destination", destination}, {"targets", unassigned}, {"why", "not assigned to the destination"}});
   }
+  LogContradiction(destination, after.reassigned - before.reassigned);
   PublishFromSrv(std::move(update));
 }
 
+// Logs only the first of a series of answers that contradict the list.
+void MergedEndpointSource::LogContradiction(long long destination, long targets) {
+  if (targets == 0) {
+    contradicted_.erase(destination);
+  } else if (contradicted_.insert(destination).second) {
+    log::Warn("srv_targets_ignored", {{"destination", destination},
+                                      {"targets", targets},
+                                      {"why", "the list has the address for another destination"}});
+  }
+}
+
 void MergedEndpointSource::OnNotOffered(long long destination) {
   log::Warn("srv_not_offered", {{"destination", destination}});
   PublishFromSrv(merge_.OnNotOffered(loop_.Now(), destination));
@@ -127,9 +140,11 @@
 
 ordered_json MergedEndpointSource::ToJson() const {
   const dns::ResolverCounters& counters = resolver_.counters();
+  const IgnoredTargets& ignored = merge_.ignored_targets();
   return {{"members", EndpointsToJson()},
           {"silent", FailuresToJson()},
-          {"targets_passed_over", merge_.ignored_targets()},
+          {"targets_passed_over", ignored.unassigned + ignored.reassigned},
+          {"targets_of_others", ignored.reassigned},
           {"dns",
            {{"queries", counters.queries},
             {"tcp", counters.tcp},
--- a/src/discovery/merged_endpoint_source.h
+++ b/src/discovery/merged_endpoint_source.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
   void OnTargets(long long destination, const std::vector<SrvTarget>& targets, bool complete) override;
   void OnNotOffered(long long destination) override;
   void OnNoAnswer(long long destination, const char* reason, bool expired) override;
+  void LogContradiction(long long destination, long targets);
   void PublishFromSrv(EndpointListUpdate update);
   nlohmann::ordered_json EndpointsToJson() const;
   nlohmann::ordered_json FailuresToJson() const;
@@ -52,6 +54,7 @@
   EndpointMerge merge_;
   dns::Resolver resolver_;
   SrvSource source_;
+  std::set<long long> contradicted_;           // destinations of whose targets the list has some for others
   std::map<long long, std::string> failures_;  // by destination, until an answer names targets
 };
 
--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "decision/route_gossip.h"
+#include "discovery/address_claim.h"
 #include "log/log.h"
 #include "net/address.h"
 
@@ -35,6 +36,11 @@
   }
 }
 
+AddressClaim ClaimOf(const EndpointTable::Endpoint& endpoint) {
+  return {endpoint.claimed_in, endpoint.started_at_ms,
+          endpoint.listed_endpoint.status == EndpointStatus::kDraining};
+}
+
 // Whether the entry gives a listed endpoint another destination, zone or kind. The entry is then treated as a
 // different endpoint with the same id.
 bool IsReassigned(const EndpointTable::Endpoint& endpoint, const ListedEndpoint& entry) {
@@ -177,13 +183,6 @@
   return owns ? std::optional(owner->second) : std::nullopt;
 }
 
-bool EndpointTable::IsOlderClaim(const Endpoint& claim, const Endpoint& than) const {
-  if (claim.claimed_in != than.claimed_in) return claim.claimed_in < than.claimed_in;
-  if (claim.started_at_ms != than.started_at_ms) return claim.started_at_ms < than.started_at_ms;
-  return claim.listed_endpoint.status == EndpointStatus::kDraining &&
-         than.listed_endpoint.status == EndpointStatus::kInService;
-}
-
 // After all records of an update: endpoints may have swapped their addresses. Where one update names two
 // endpoints with one address, and nothing tells which is newer, both stay.
 void EndpointTable::RemoveDisplaced(ListUpdate& update) {
@@ -191,8 +190,10 @@
     const Endpoint& claim = endpoints_.at(id);
     if (!claim.listed) continue;
     const std::optional<EndpointId> owner = OwnerOf(claim.address);
-    const bool owner_is_newer = owner && *owner != id && IsOlderClaim(claim, endpoints_.at(*owner));
-    if (owner && *owner != id && IsOlderClaim(endpoints_.at(*owner), claim)) Displace(*owner, update);
+    const bool owner_is_newer =
+        owner && *owner != id && IsOlder(ClaimOf(claim), ClaimOf(endpoints_.at(*owner)));
+    if (owner && *owner != id && IsOlder(ClaimOf(endpoints_.at(*owner)), ClaimOf(claim)))
+      Displace(*owner, update);
     if (owner_is_newer) {
       Displace(id, update);
     } else {
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -93,7 +93,6 @@
   // An address belongs to the endpoint that the list has given it last, whatever it still says of others.
   void RemoveDisplaced(ListUpdate& update);
   std::optional<EndpointId> OwnerOf(const sockaddr_in& address) const;
-  bool IsOlderClaim(const Endpoint& claim, const Endpoint& than) const;
   void Displace(EndpointId number, ListUpdate& update);
   bool IsDisplaced(const EndpointRecord& record);
   std::optional<ListedEndpoint> ToListedEndpoint(const EndpointRecord& record, bool stale) const;
--- a/tests/discovery/endpoint_merge_test.cpp
+++ b/tests/discovery/endpoint_merge_test.cpp
@@ -1,6 +1,7 @@
-// Tests the merge of the endpoint list with SRV: every row of merge_table.txt, endpoint ids, ratings, and
-// long random sequences that are checked against a model of the guarantees in docs/srv.md. The model is
-// independent of the implementation.
+// Tests the merge of the endpoint list with SRV: every row of merge_table.txt,
+// endpoint ids, ratings, and long random sequences that are checked against a
+// model of the guarantees in docs/srv.md. The model is independent of the
+// implementation.
 #include "discovery/endpoint_merge.h"
 
 #include <doctest/doctest.h>
@@ -18,12 +19,13 @@
 namespace {
 
 constexpr long long kDestination = 7;
+constexpr long long kOtherDestination = 8;
 using Status = EndpointRecord::Status;
 
 sockaddr_in AddressOf(char letter) {
   return *net::ParseAddress("127.0.0." + std::to_string(letter - 'a' + 1) + ":80");
 }
-char LetterOf(const EndpointRecord& record) {
+char LetterOf(const EndpointRecord &record) {
   return static_cast<char>('a' + (ntohl(record.address.sin_addr.s_addr) & 255) - 1);
 }
 
@@ -31,6 +33,14 @@
   return {"e" + std::string(1, letter), "z", "apart", AddressOf(letter), kDestination, status, weight};
 }
 
+// An endpoint of kOtherDestination at the letter's address.
+EndpointRecord MakeOtherRecord(char letter, Status status) {
+  EndpointRecord record = MakeRecord(letter, status);
+  record.id = "other-" + record.id;
+  record.destination = kOtherDestination;
+  return record;
+}
+
 EndpointMergeOptions Options() {
   EndpointMergeOptions options;
   options.kinds_with_endpoint_limits = {"apart"};
@@ -39,29 +49,32 @@
   return options;
 }
 
-// Runs the steps of a table row and applies the published updates, as a relay does.
+// Runs the steps of a table row and applies the published updates, as a relay
+// does.
 class Scenario {
  public:
   Scenario() : merge(Options()) { merge.AddOwnAddress(kDestination, AddressOf('x')); }
-  void Run(const std::string& steps) {
+  void Run(const std::string &steps) {
     std::istringstream all(steps);
     for (std::string step; std::getline(all, step, ';');) RunStep(step);
   }
-  void Apply(const EndpointListUpdate& update) {
+  void Apply(const EndpointListUpdate &update) {
     if (update.complete) published.clear();
-    for (const EndpointRecord& record : update.endpoints) {
+    for (const EndpointRecord &record : update.endpoints) {
       published[record.id] = record;
       if (record.status == Status::kRemoved) published.erase(record.id);
     }
   }
-  // The result in the notation of the table. Also checks it against the published updates.
+  // The endpoints of kDestination in the notation of the table. Also checks
+  // them against the published updates.
   std::string Result() const {
     std::string text;
     const std::vector<MergedEndpoint> rows = merge.Endpoints();
     CHECK(rows.size() == published.size());
-    for (const MergedEndpoint& row : rows) {
+    for (const MergedEndpoint &row : rows) {
       REQUIRE(published.count(row.endpoint.id) == 1);
       CHECK(published.at(row.endpoint.id).status == row.endpoint.status);
+      if (row.endpoint.destination != kDestination) continue;
       const char letter = LetterOf(row.endpoint);
       text += std::string(text.empty() ? "" : ", ") +
               (row.endpoint.status == Status::kInService ? "+" : "-") + letter + " " + NameOf(row.reason);
@@ -74,7 +87,7 @@
   std::string target = "host";
 
  private:
-  void RunStep(const std::string& step) {
+  void RunStep(const std::string &step) {
     std::istringstream words(step);
     std::string verb, word;
     words >> verb;
@@ -92,6 +105,13 @@
                                                        : verb == "drain" ? Status::kDraining
                                                                          : Status::kRemoved));
       Apply(merge.OnList(now, update));
+    } else if (verb == "other" || verb == "other-drain" || verb == "other-gone") {
+      EndpointListUpdate update;
+      while (words >> word)
+        update.endpoints.push_back(MakeOtherRecord(word[0], verb == "other"         ? Status::kInService
+                                                            : verb == "other-drain" ? Status::kDraining
+                                                                                    : Status::kRemoved));
+      Apply(merge.OnList(now, update));
     } else if (verb == "srv" || verb == "part") {
       std::vector<SrvTarget> targets;
       while (words >> word) {
@@ -129,7 +149,9 @@
   CHECK(rows >= 60);
 }
 
-TEST_CASE("merge: a machine keeps its id once the list names it; another at its address gets a new one") {
+TEST_CASE(
+    "merge: a machine keeps its id once the list names it; another at "
+    "its address gets a new one") {
   Scenario scenario;
   scenario.Run("list; srv x");
   REQUIRE(scenario.published.size() == 1);
@@ -151,19 +173,42 @@
   CHECK(other.published.begin()->first != before);
 }
 
-TEST_CASE("merge: SRV weights divide the listed ratings among endpoints with limits of their own") {
+TEST_CASE(
+    "merge: SRV weights divide the listed ratings among endpoints with "
+    "limits of their own") {
   Scenario scenario;
   scenario.Run("list a b c; srv a*6 b*3 c*0");
   CHECK(scenario.published.at("ea").weight == doctest::Approx(30 * 6 / 9.1));
   CHECK(scenario.published.at("eb").weight == doctest::Approx(30 * 3 / 9.1));
   CHECK(scenario.published.at("ec").weight == doctest::Approx(30 * 0.1 / 9.1));
   scenario.Run("srv a*0 b*0 c*0");
-  for (const char* id : {"ea", "eb", "ec"}) CHECK(scenario.published.at(id).weight == doctest::Approx(10));
+  for (const char *id : {"ea", "eb", "ec"}) CHECK(scenario.published.at(id).weight == doctest::Approx(10));
   scenario.Run("expired");
   CHECK(scenario.published.at("ea").weight == 10);
 }
 
-TEST_CASE("merge: an id that moves to another destination is removed from the first") {
+// Guards against a drain by the list that SRV outlives: the endpoint that SRV
+// had added stayed beside a listed one that had moved to its address.
+TEST_CASE(
+    "merge: a listed endpoint that moves to an added one's address takes "
+    "its place") {
+  Scenario scenario;
+  scenario.Run("list a; srv a x");
+  REQUIRE(scenario.published.size() == 2);
+  EndpointRecord moved = MakeRecord('a');
+  moved.address = AddressOf('x');
+  EndpointListUpdate update;
+  update.endpoints = {moved};
+  scenario.Apply(scenario.merge.OnList(scenario.now, update));
+  REQUIRE(scenario.published.size() == 1);
+  CHECK(scenario.published.begin()->first == "ea");
+  scenario.Run("srv a x; gone a; srv x");
+  CHECK(scenario.published.empty());
+}
+
+TEST_CASE(
+    "merge: an id that moves to another destination is removed from the "
+    "first") {
   Scenario scenario;
   scenario.Run("list a b");
   EndpointRecord moved = MakeRecord('a');
@@ -177,9 +222,11 @@
   CHECK(changes.endpoints[1].destination == 8);
 }
 
-// ---- random sequences ------------------------------------------------------------------------------------
+// ---- random sequences
+// ------------------------------------------------------------------------------------
 
-// Records the input of both sources, to check the published updates against the guarantees of docs/srv.md.
+// Records the input of both sources, to check the published updates against the
+// guarantees of docs/srv.md.
 class ReferenceModel {
  public:
   std::map<char, Status> list;
@@ -190,44 +237,46 @@
   std::map<char, std::vector<Answer>> answers;  // complete answers, by endpoint
   bool not_offered = false;
 
-  // Whether an exclusion is confirmed: an answer repeats it after the confirmation delay, and no answer in
-  // between contradicts it.
+  // Whether an exclusion is confirmed: an answer repeats it after the
+  // confirmation delay, and no answer in between contradicts it.
   bool Confirmed(char letter, double now) const {
     const auto it = answers.find(letter);
     if (it == answers.end()) return false;
     double since = -1;
-    for (const Answer& answer : it->second) since = answer.includes ? -1 : since < 0 ? answer.at : since;
+    for (const Answer &answer : it->second) since = answer.includes ? -1 : since < 0 ? answer.at : since;
     return since >= 0 && now - since >= 2;
   }
 };
 
-void CheckGuarantees(const Scenario& scenario, const ReferenceModel& model,
-                     const std::map<char, bool>& before, const std::string& step,
-                     std::vector<double>& unconfirmed) {
+void CheckGuarantees(const Scenario &scenario, const ReferenceModel &model,
+                     const std::map<char, bool> &before, const std::string &step,
+                     std::vector<double> &unconfirmed) {
   CAPTURE(step);
   int listed_in_service = 0, in_service = 0, eligible = 0;
   std::map<char, bool> after;
-  for (const auto& [id, record] : scenario.published) {
+  for (const auto &[id, record] : scenario.published) {
     const char letter = LetterOf(record);
     // Only listed endpoints and the own address are published.
     CHECK((model.list.count(letter) > 0 || letter == 'x'));
     after[letter] = record.status == Status::kInService;
     in_service += record.status == Status::kInService;
   }
-  for (const auto& [letter, status] : model.list) {
+  for (const auto &[letter, status] : model.list) {
     listed_in_service += status == Status::kInService;
     // A drain by the list takes effect at once, whatever SRV says.
     REQUIRE(after.count(letter) == 1);
     if (status == Status::kDraining) CHECK(!after[letter]);
   }
-  // At least one endpoint stays in service, unless SRV says that the service is not offered.
+  // At least one endpoint stays in service, unless SRV says that the service is
+  // not offered.
   if (listed_in_service > 0 && !model.not_offered) CHECK(in_service > 0);
   eligible = listed_in_service + static_cast<int>(before.count('x'));
-  for (const auto& [letter, served] : before) {
+  for (const auto &[letter, served] : before) {
     if (!served || after.count(letter) == 0 || after[letter]) continue;
     const auto listed = model.list.find(letter);
     if (listed != model.list.end() && listed->second != Status::kInService) continue;
-    // SRV drains only by a complete answer, and without confirmation only up to the permitted share.
+    // SRV drains only by a complete answer, and without confirmation only up to
+    // the permitted share.
     CHECK((step.rfind("srv", 0) == 0 || step == "dot"));
     if (model.Confirmed(letter, scenario.now)) continue;
     unconfirmed.push_back(scenario.now);
@@ -240,12 +289,13 @@
 // Letters of the endpoints that the list may name.
 const std::string kListLetters = "abcdef";
 
-bool Names(const std::string& step, char letter) {
+bool Names(const std::string &step, char letter) {
   return step.find(std::string(" ") + letter) != std::string::npos;
 }
 
-// A random selection of all letters, each left out with probability 1 / `one_in`, some with a worse priority.
-std::string RandomTargets(pcg32& random, std::uint32_t one_in) {
+// A random selection of all letters, each left out with probability 1 /
+// `one_in`, some with a worse priority.
+std::string RandomTargets(pcg32 &random, std::uint32_t one_in) {
   std::string chosen;
   for (const char letter : kListLetters + "xyz") {
     if (random(one_in) != 0) chosen += std::string(" ") + letter + (random(4) == 0 ? "/2" : "");
@@ -253,9 +303,9 @@
   return chosen;
 }
 
-// A complete list of random letters. An id that the list adds or drops stands for a different machine from
-// then on, so its earlier answers no longer count.
-std::string RandomList(pcg32& random, ReferenceModel& model) {
+// A complete list of random letters. An id that the list adds or drops stands
+// for a different machine from then on, so its earlier answers no longer count.
+std::string RandomList(pcg32 &random, ReferenceModel &model) {
   std::string step = "list";
   const auto old = std::exchange(model.list, {});
   for (const char letter : kListLetters) {
@@ -268,8 +318,9 @@
   return step;
 }
 
-// A drain or removal of one endpoint. Empty for a drain of an endpoint that is not listed.
-std::string RandomChange(pcg32& random, ReferenceModel& model) {
+// A drain or removal of one endpoint. Empty for a drain of an endpoint that is
+// not listed.
+std::string RandomChange(pcg32 &random, ReferenceModel &model) {
   const char letter = kListLetters[random(6)];
   const bool drain = random(2) == 0;
   if (drain && model.list.count(letter) == 0) return "";
@@ -282,8 +333,9 @@
   return std::string(drain ? "drain " : "gone ") + letter;
 }
 
-// Returns the next step, or an empty string for none. Records list changes in the model.
-std::string RandomStep(pcg32& random, ReferenceModel& model, bool first) {
+// Returns the next step, or an empty string for none. Records list changes in
+// the model.
+std::string RandomStep(pcg32 &random, ReferenceModel &model, bool first) {
   switch (first ? 0 : random(9)) {
     case 0:
       return RandomList(random, model);
@@ -301,15 +353,15 @@
   }
 }
 
-// Records for each endpoint whether a complete answer includes it: names it with the best priority of those
-// in service.
-void RecordAnswer(ReferenceModel& model, const std::string& step, double now) {
+// Records for each endpoint whether a complete answer includes it: names it
+// with the best priority of those in service.
+void RecordAnswer(ReferenceModel &model, const std::string &step, double now) {
   const auto priority = [&](char letter) {
     const std::size_t at = step.find(std::string(" ") + letter);
     return at == std::string::npos ? 9 : step[std::min(at + 2, step.size() - 1)] == '/' ? 2 : 1;
   };
   int best = priority('x');
-  for (const auto& [letter, status] : model.list) {
+  for (const auto &[letter, status] : model.list) {
     if (status == Status::kInService) best = std::min(best, priority(letter));
   }
   for (const char letter : kListLetters + "x") {
@@ -318,13 +370,13 @@
 }
 
 // Records the SRV input of a step.
-void RecordSrvStep(ReferenceModel& model, const std::string& step, double now,
-                   std::vector<double>& unconfirmed) {
+void RecordSrvStep(ReferenceModel &model, const std::string &step, double now,
+                   std::vector<double> &unconfirmed) {
   const bool complete = step.rfind("srv", 0) == 0;
   const bool not_offered = step == "dot";
   const bool answer = complete || not_offered || step.rfind("part", 0) == 0;
   const bool names_listed =
-      answer && std::any_of(model.list.begin(), model.list.end(), [&](const auto& entry) {
+      answer && std::any_of(model.list.begin(), model.list.end(), [&](const auto &entry) {
         return entry.second == Status::kInService && Names(step, entry.first);
       });
   const bool names_one = names_listed || Names(step, 'x');
@@ -337,9 +389,9 @@
   if (not_offered || (complete && names_one)) RecordAnswer(model, step, now);
 }
 
-std::map<char, bool> InServiceByLetter(const Scenario& scenario) {
+std::map<char, bool> InServiceByLetter(const Scenario &scenario) {
   std::map<char, bool> in_service;
-  for (const auto& [id, record] : scenario.published) {
+  for (const auto &[id, record] : scenario.published) {
     in_service[LetterOf(record)] = record.status == Status::kInService;
   }
   return in_service;
@@ -364,7 +416,9 @@
   }
 }
 
-TEST_CASE("merge: every step of 1,000 random sequences with faults keeps the guarantees") {
+TEST_CASE(
+    "merge: every step of 1,000 random sequences with faults keeps the "
+    "guarantees") {
   for (std::uint64_t seed = 1; seed <= 1000; ++seed) RunRandomSequence(seed);
 }
 
--- a/tests/discovery/srv_relay_test.cpp
+++ b/tests/discovery/srv_relay_test.cpp
@@ -49,15 +49,14 @@
     CHECK(read({"--srv-own", invalid}).second.size() == 1);
 }
 
+nlohmann::json InstanceJson(const std::string& id, const std::string& address, long long destination) {
+  return {{"instanceId", id},       {"hostPort", address}, {"zone", "z0"},
+          {"machineType", "plain"}, {"cell", destination}, {"lifecycle", "ready"}};
+}
 nlohmann::json EndpointListJson(const std::vector<std::pair<std::string, std::string>>& addresses_by_id) {
   nlohmann::json list = {{"generation", 1}, {"reset", true}, {"instances", nlohmann::json::array()}};
   for (const auto& [id, address] : addresses_by_id)
-    list["instances"].push_back({{"instanceId", id},
-                                 {"hostPort", address},
-                                 {"zone", "z0"},
-                                 {"machineType", "plain"},
-                                 {"cell", kSrvDestination},
-                                 {"lifecycle", "ready"}});
+    list["instances"].push_back(InstanceJson(id, address, kSrvDestination));
   return list;
 }
 nlohmann::json ConfigJson(const std::string& folder, const sockaddr_in& discovery,
@@ -127,6 +126,50 @@
   CHECK(a.delivered().size() + b.delivered().size() == load.messages().size());
 }
 
+// Guards against messages that are sent to an endpoint of another destination: SRV named an address for
+// destination 7 that the list had given to an endpoint of destination 8, and the relay took it from there.
+TEST_CASE(
+    "srv: an address that the list has given to another destination gets none of the former one's calls") {
+  constexpr long long kOtherDestination = 8;
+  const Folder folder;
+  lab::SimulatedClock clock;
+  net::EventLoop loop(clock);
+  FakeNameServer server(loop);
+  lab::FakePlatform platform(loop);
+  lab::FakePartner listed(loop, {}, 1, 1), reassigned(loop, {}, 1, 1);
+  const std::string listed_address = net::FormatAddress(listed.Address(0, 0));
+  const sockaddr_in own_address = reassigned.Address(0, 0);
+  const std::vector<SrvEndpoint> both = {{"host.example", ntohs(listed.Address(0, 0).sin_port)},
+                                         {"host.example", ntohs(own_address.sin_port)}};
+  server.Set(AddressQuestion("host.example"), AddressAnswer("host.example", "127.0.0.1", 60));
+  server.Set(SrvQuestion(), SrvAnswer(both, 2));
+  auto list = EndpointListJson({{"listed", listed_address}});
+  list["instances"].push_back(InstanceJson("reassigned", net::FormatAddress(own_address), kOtherDestination));
+  platform.SetEndpointList(list);
+  fs::create_directories(folder / "state");
+  const Config config = config::Parse(ConfigJson(folder / "state", platform.address(), list),
+                                      [](const char*) { return std::nullopt; });
+  OperatorSettings settings;
+  settings.dns.servers = {server.address()};
+  settings.srv_names = {{kSrvName, kSrvDestination}};
+  settings.own_addresses = {{kSrvDestination, own_address}};
+  Relay relay(loop, config, settings);
+  lab::LoadSettings rate;
+  rate.from = clock.Now();
+  rate.to = clock.Now() + 10;
+  rate.destinations = {kSrvDestination};
+  lab::LoadSettings other_rate = rate;
+  other_rate.destinations = {kOtherDestination};
+  other_rate.prefix = "other-";
+  lab::SingleRelayLoad load(loop, rate), other_load(loop, other_rate);
+  load.SetRelay(relay.address());
+  other_load.SetRelay(relay.address());
+  lab::RunEventLoopUntil(loop, clock, clock.Now() + 20);
+  CHECK(listed.delivered().size() == load.messages().size());
+  CHECK(reassigned.delivered().size() == other_load.messages().size());
+  for (const auto& [id, at] : reassigned.delivered()) CHECK(id.rfind("other-", 0) == 0);
+}
+
 TEST_CASE("srv: `opalroute pool` prints the merged endpoints, by its own queries or from a running relay") {
   const Folder folder;
   const net::SystemClock clock;
