The merge publishes all removals first, so an endpoint may move between destinations

What callers saw: with `srv` set, an endpoint that the list moved to a destination with a lower number was removed until the next complete list; messages for it waited or were handed back.

Cause: updates were published destination by destination, so the removal from the former destination came after the record in the new one, and the reader removed what it had just been given.

Change: removals of all affected destinations come before any update.

--- a/src/discovery/endpoint_merge.cpp
+++ b/src/discovery/endpoint_merge.cpp
@@ -61,8 +61,9 @@
   EndpointListUpdate changes;
   for (const long long id : affected) {
     DestinationOf(id).UpdateStatuses(now, false);
-    PublishChanges(id, changes);
+    PublishRemovals(id, changes);
   }
+  for (const long long id : affected) PublishUpdates(id, changes);
   return update.complete ? PublishAll() : changes;
 }
 
@@ -90,9 +91,14 @@
   return changes;
 }
 
-// Appends the changes to one destination since it was last published: removals first, then new and changed
-// endpoints, each ordered by id.
+// Appends the changes to one destination since it was last published.
 void EndpointMerge::PublishChanges(long long id, EndpointListUpdate& changes) {
+  PublishRemovals(id, changes);
+  PublishUpdates(id, changes);
+}
+
+// The removals of all destinations must come before any update: an endpoint id may move between destinations.
+void EndpointMerge::PublishRemovals(long long id, EndpointListUpdate& changes) {
   const MergedDestination& destination = destinations_.at(id);
   Records& records = published_[id];
   for (auto it = records.begin(); it != records.end();) {
@@ -104,7 +110,11 @@
     changes.endpoints.back().status = Status::kRemoved;
     it = records.erase(it);
   }
-  for (const MergedEndpoint& merged : destination.Endpoints()) {
+}
+
+void EndpointMerge::PublishUpdates(long long id, EndpointListUpdate& changes) {
+  Records& records = published_[id];
+  for (const MergedEndpoint& merged : destinations_.at(id).Endpoints()) {
     const EndpointRecord& record = merged.endpoint;
     const auto [it, inserted] = records.emplace(record.id, record);
     if (!inserted && AreEqual(it->second, record)) continue;
--- a/src/discovery/endpoint_merge.h
+++ b/src/discovery/endpoint_merge.h
@@ -52,6 +52,8 @@
   void WithdrawFromPreviousDestination(const EndpointRecord& record, std::set<long long>& affected);
   void WithdrawUnlisted(const EndpointListUpdate& list);
   void PublishChanges(long long id, EndpointListUpdate& changes);
+  void PublishRemovals(long long id, EndpointListUpdate& changes);
+  void PublishUpdates(long long id, EndpointListUpdate& changes);
   EndpointListUpdate PublishAll();
 
   const EndpointMergeOptions options_;
--- a/tests/discovery/endpoint_merge_test.cpp
+++ b/tests/discovery/endpoint_merge_test.cpp
@@ -222,6 +222,23 @@
   CHECK(changes.endpoints[1].destination == 8);
 }
 
+// Guards against an endpoint that no destination has until the next complete
+// list: the removal from the former destination came after the update that
+// named it in the new one.
+TEST_CASE(
+    "merge: an id that moves to a destination with a lower number is "
+    "removed from the first before") {
+  Scenario scenario;
+  scenario.Run("list a; other b");
+  EndpointRecord moved = MakeRecord('b');
+  moved.id = "other-eb";
+  EndpointListUpdate update;
+  update.endpoints = {moved};
+  scenario.Apply(scenario.merge.OnList(scenario.now, update));
+  REQUIRE(scenario.published.count("other-eb") == 1);
+  CHECK(scenario.published.at("other-eb").destination == kDestination);
+}
+
 // ---- random sequences
 // ------------------------------------------------------------------------------------
 
@@ -422,5 +439,156 @@
   for (std::uint64_t seed = 1; seed <= 1000; ++seed) RunRandomSequence(seed);
 }
 
+// ---- addresses that the list gives from one destination to another
+// ---------------------------------------
+
+// The list as its updates tell it, one change at a time: the entry that was
+// given an address last has it.
+class AddressModel {
+ public:
+  struct Entry {
+    long long destination = 0;
+    char letter = 0;  // its address
+    int given_in = 0;
+    Status status = Status::kInService;
+  };
+
+  void Name(const std::string &id, const Entry &entry) {
+    const auto known = entries.find(id);
+    const bool same_place = known != entries.end() && known->second.letter == entry.letter &&
+                            known->second.destination == entry.destination;
+    const int given_in = same_place ? known->second.given_in : entry.given_in;
+    entries[id] = entry;
+    entries[id].given_in = given_in;
+  }
+  void RecordWithdrawals(double now) {
+    for (const char letter : kLetters) {
+      const bool named = Owner(letter) != nullptr;
+      if (!named && named_before_.count(letter) > 0) withdrawn_at_[letter] = now;
+      named_before_.erase(letter);
+      if (named) named_before_.insert(letter);
+    }
+  }
+  // The entry that has the address; null if the list does not name it.
+  const Entry *Owner(char letter) const {
+    const Entry *owner = nullptr;
+    for (const auto &[id, entry] : entries) {
+      const bool newer = owner == nullptr || entry.given_in > owner->given_in;
+      if (entry.letter == letter && newer) owner = &entry;
+    }
+    return owner;
+  }
+  bool SrvMayAdd(char letter, long long destination, double now) const {
+    const auto withdrawn = withdrawn_at_.find(letter);
+    return letter == OwnLetter(destination) &&
+           (withdrawn == withdrawn_at_.end() || now - withdrawn->second >= 600);
+  }
+  static char OwnLetter(long long destination) { return destination == kDestination ? 'c' : 'd'; }
+
+  static inline const std::string kLetters = "abcd";
+  std::map<std::string, Entry> entries;  // by id
+
+ private:
+  std::set<char> named_before_;
+  std::map<char, double> withdrawn_at_;
+};
+
+void CheckAddresses(const Scenario &scenario, const AddressModel &model) {
+  std::map<long long, int> in_service, listed_in_service;
+  for (const auto &[id, record] : scenario.published) {
+    const char letter = LetterOf(record);
+    CAPTURE(letter);
+    const AddressModel::Entry *owner = model.Owner(letter);
+    if (owner != nullptr) {
+      CHECK(record.destination == owner->destination);
+      if (owner->status == Status::kDraining) CHECK(record.status == Status::kDraining);
+    } else {
+      CHECK(model.SrvMayAdd(letter, record.destination, scenario.now));
+    }
+    in_service[record.destination] += record.status == Status::kInService;
+  }
+  for (const char letter : AddressModel::kLetters) {
+    const AddressModel::Entry *owner = model.Owner(letter);
+    if (owner != nullptr) listed_in_service[owner->destination] += owner->status == Status::kInService;
+  }
+  for (const auto &[destination, listed] : listed_in_service) {
+    if (listed > 0) CHECK(in_service[destination] > 0);
+  }
+}
+
+// One change of the list: an endpoint comes, moves, drains or goes, or the
+// complete list is repeated.
+EndpointListUpdate RandomListUpdate(pcg32 &random, AddressModel &model, int step) {
+  EndpointListUpdate update;
+  const std::string id = "m" + std::to_string(random(6));
+  AddressModel::Entry entry{random(2) == 0 ? kDestination : kOtherDestination,
+                            AddressModel::kLetters[random(4)], step, Status::kInService};
+  const auto known = model.entries.find(id);
+  const std::uint32_t kind = random(5);
+  if (kind <= 1 && known != model.entries.end()) {
+    entry = known->second;
+    entry.status = kind == 0 ? Status::kRemoved : Status::kDraining;
+  }
+  if (entry.status == Status::kRemoved) {
+    model.entries.erase(id);
+  } else {
+    model.Name(id, entry);
+  }
+  const auto add = [&](const std::string &name, const AddressModel::Entry &named) {
+    update.endpoints.push_back(MakeRecord(named.letter, named.status));
+    update.endpoints.back().id = name;
+    update.endpoints.back().destination = named.destination;
+  };
+  update.complete = kind == 2;
+  if (!update.complete) add(id, entry);
+  for (const auto &[name, named] : model.entries) {
+    if (update.complete) add(name, named);
+  }
+  return update;
+}
+
+// Guards against messages that are sent to an endpoint of another destination:
+// SRV named an address for a destination after the list had given it to another
+// one.
+TEST_CASE(
+    "merge: in 2,000 random sequences an address is published for the "
+    "destination that the list gave it "
+    "last") {
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    pcg32 random(seed, 11);
+    Scenario scenario;
+    AddressModel model;
+    for (const long long destination : {kDestination, kOtherDestination})
+      scenario.merge.AddOwnAddress(destination, AddressOf(AddressModel::OwnLetter(destination)));
+    for (int step = 1; step <= 60; ++step) {
+      scenario.now += random(20) == 0 ? 700 : random(30) * 0.1;
+      const long long destination = random(2) == 0 ? kDestination : kOtherDestination;
+      switch (random(5)) {
+        case 0:
+        case 1:
+          scenario.Apply(scenario.merge.OnList(scenario.now, RandomListUpdate(random, model, step)));
+          model.RecordWithdrawals(scenario.now);
+          break;
+        case 2:
+          scenario.Apply(scenario.merge.OnNoAnswer(scenario.now, destination, random(2) == 0));
+          break;
+        default: {
+          std::vector<SrvTarget> targets;
+          for (const char letter : AddressModel::kLetters) {
+            const int priority = random(4) == 0 ? 2 : 1;
+            const std::string host = std::string("h") + letter;
+            if (random(3) != 0) targets.push_back({host, AddressOf(letter), priority, 1});
+          }
+          const bool complete = random(4) != 0;
+          scenario.Apply(scenario.merge.OnTargets(scenario.now, destination, targets, complete));
+        }
+      }
+      CAPTURE(step);
+      CheckAddresses(scenario, model);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace opalroute
