--- a/tests/judge_tests_test.sh
+++ b/tests/judge_tests_test.sh
@@ -1,18 +1,23 @@
 #!/usr/bin/env bash
 # tools/judge-tests must let a run pass only if the list is valid and names each failed test; otherwise CI could miss a
-# failure. Runs ctest over tests that pass and fail. Also checks that the exit status of tools/test-and-judge is that of
+# failure. Runs ctest over tests that pass, fail, time out or can't be started. Also checks that the exit status of tools/test-and-judge is that of
 # tools/judge-tests, not that of the test command.
 set -u
 judge=$1 folder=$2 failed=0
 rm -rf "$folder"
 mkdir -p "$folder"
+report="$folder/test-report.xml"
 run() {  # run NAME...: runs ctest; the tests named here fail, good and fine pass
   {
     echo 'add_test(good true)'
     echo 'add_test(fine true)'
     for name in "$@"; do echo "add_test($name false)"; done
   } >"$folder/CTestTestfile.cmake"
-  ctest --test-dir "$folder" >/dev/null 2>&1
+  run_tests
+}
+run_tests() {
+  rm -f "$report"
+  ctest --test-dir "$folder" --output-junit test-report.xml >/dev/null 2>&1
   run_status=$?
 }
 expect() {  # expect pass|fail TEXT-IN-THE-OUTPUT LINE-OF-THE-LIST...
@@ -57,6 +62,64 @@
 run_status=2  # a failed build that leaves the log of an earlier run
 expect fail "" "red; $case; seen; issue 3"
 
+# Guards against a CI that missed every failure but one: a listed command ran ctest in the build folder, which wrote the
+# list of failed tests anew before it was read.
+run red unlisted
+expect fail "not known red: unlisted" "red; \`ctest --test-dir $folder -R ^red\$\`; seen; issue 3"
+run red
+expect pass "failed, known red: red" "red; \`ctest --test-dir $folder -R ^red\$\`; seen; issue 3"
+
+# No report, one that ctest did not finish, and those of other runs.
+run red
+rm "$report"
+expect fail "no report" "red; $case; seen; issue 3"
+run red
+sed -i '$d' "$report"
+expect fail "incomplete" "red; $case; seen; issue 3"
+run red
+cp "$report" "$folder/report-of-another-run"
+run red redder
+cp "$folder/report-of-another-run" "$report"
+expect fail "another run" "red; $case; seen; issue 3"
+run red
+sed -i 's/status="fail"/status="run"/' "$report"
+expect fail "has no failed test" "red; $case; seen; issue 3"
+run red
+run_status=0
+expect fail "did not pass: red" "red; $case; seen; issue 3"
+run
+run_status=139  # ctest itself has crashed, after its report
+expect fail "status 139"
+
+# Tests that time out, can't be started or are skipped, and output that looks like a result.
+run
+cat >>"$folder/CTestTestfile.cmake" <<'TESTS'
+add_test(slow sleep 5)
+set_tests_properties(slow PROPERTIES TIMEOUT 1)
+TESTS
+run_tests
+expect fail "not known red: slow"
+expect pass "failed, known red: slow" "slow; $case; seen; issue 3"
+run
+echo 'add_test(absent no-such-program)' >>"$folder/CTestTestfile.cmake"
+run_tests
+expect fail "not known red: absent"
+run
+cat >>"$folder/CTestTestfile.cmake" <<'TESTS'
+add_test(skipped sh -c "exit 77")
+set_tests_properties(skipped PROPERTIES SKIP_RETURN_CODE 77)
+TESTS
+run_tests
+expect fail "did not pass: skipped"
+run
+cat >>"$folder/CTestTestfile.cmake" <<'TESTS'
+add_test(forger sh -c "printf '\\t<testcase name=\"red\" classname=\"red\" time=\"0\" status=\"fail\">\\n'")
+add_test("odd <name> & 'quotes'" false)
+TESTS
+run_tests
+expect fail "not known red: odd <name> & 'quotes'"
+expect pass "failed, known red: odd <name> & 'quotes'" "odd <name> & 'quotes'; $case; seen; issue 3"
+
 # expect_script pass|fail LINE-OF-THE-LIST...: tools/test-and-judge in a folder whose ./test repeats the run above
 expect_script() {
   local expected=$1 got=pass
@@ -70,13 +133,15 @@
 }
 mkdir -p "$folder/tools"
 cp "$judge" "$(dirname "$judge")/test-and-judge" "$folder/tools"
-printf '#!/bin/sh\nctest --test-dir "$1"\n' >"$folder/test"
+printf '#!/bin/sh\nctest --test-dir "$1" --output-junit test-report.xml\n' >"$folder/test"
 chmod +x "$folder/test"
 run
 expect_script pass "# none"
 run red
 expect_script fail "# none"
 expect_script pass "red; $case; seen; issue 3"
+printf '#!/bin/sh\nexit 8\n' >"$folder/test"  # leaves the report of an earlier run
+expect_script fail "red; $case; seen; issue 3"
 printf '#!/bin/sh\nexit 2\n' >"$folder/test"  # a failed build
 expect_script fail "red; $case; seen; issue 3"
 exit $failed
