A request whose 202 could not be written is not lost when it comes again

What callers saw: a client's connection breaks before its 202 is written; the same request on another connection is answered 202, and is neither delivered nor notified. A client that had already been answered 202 for a copy lost its request when the first connection ended.

Cause: RequestIntake::Abort ended every request whose 202 could not be written, also one that an endpoint may have run, whose id then answers copies, and one of which a copy had been answered.

Change: only a request that no endpoint may have run and of which no copy was answered is dropped, and its id with it at once. Any other goes on to its end. New counter `lost_responses`.

--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -12,10 +12,11 @@
 namespace opalroute {
 
 struct Counters {
-  // Requests from clients; recovered: from the journal after a restart; aborted: the client disconnected
-  // before it had the whole response.
+  // Requests from clients; recovered: from the journal after a restart; lost_responses: the client
+  // disconnected before it had the whole response; aborted: the request was dropped for that.
   long requests = 0, accepted = 0, recovered = 0;
-  long bad_requests = 0, rejects_full = 0, rejects_disk = 0, rejects_stopping = 0, aborted = 0;
+  long bad_requests = 0, rejects_full = 0, rejects_disk = 0, rejects_stopping = 0, aborted = 0,
+       lost_responses = 0;
   // Calls and attempts; withheld: not sent once there was a connection, as sending was no longer allowed.
   long calls = 0, attempts = 0, health_checks = 0, withheld = 0;
   // Outcomes of attempts
@@ -66,6 +67,7 @@
             {"rejects_disk", rejects_disk},
             {"rejects_stopping", rejects_stopping},
             {"withdrawn", aborted},
+            {"lost_responses", lost_responses},
             {"calls", calls},
             {"attempts", attempts},
             {"probes", health_checks},
--- a/src/relay/request_intake.cpp
+++ b/src/relay/request_intake.cpp
@@ -16,8 +16,10 @@
     : dependencies_(dependencies), ready_(std::move(ready)) {}
 
 AcceptResult RequestIntake::Accept(ClientRequest&& request, std::uint64_t& ticket) {
-  if (const AcceptedRequest* accepted = dependencies_.requests.FindByClientId(request.id)) {
-    return IsRepeatOf(*accepted, request) ? AcceptResult::kAccepted : AcceptResult::kIdInUse;
+  if (AcceptedRequest* accepted = dependencies_.requests.FindByClientId(request.id)) {
+    if (!IsRepeatOf(*accepted, request)) return AcceptResult::kIdInUse;
+    accepted->accepted_again = true;
+    return AcceptResult::kAccepted;
   }
   switch (dependencies_.requests.FindEnded(request)) {
     case RequestTable::EndedAs::kSame:
@@ -47,10 +49,15 @@
   return AcceptResult::kAccepted;
 }
 
+// Invariant: a request whose id is answered 202 when it comes again is brought to an end. So only a request
+// that nobody was told of, and that no endpoint may have run, is dropped, and its id with it.
 void RequestIntake::Abort(std::uint64_t ticket) {
-  const AcceptedRequest* request = dependencies_.requests.Find(ticket);
+  AcceptedRequest* request = dependencies_.requests.Find(ticket);
   if (request == nullptr || request->ended) return;
+  ++dependencies_.counters.lost_responses;
+  if (request->accepted_again || dependencies_.requests.MayHaveRun(*request)) return;
   ++dependencies_.counters.aborted;
+  dependencies_.requests.ReleaseClientId(*request);
   dependencies_.calls.EndWithoutOutcome(ticket);
 }
 
--- a/src/relay/request_table.cpp
+++ b/src/relay/request_table.cpp
@@ -19,6 +19,11 @@
   return kRequestBytes + 2 * (entry.id.size() + entry.key.size() + entry.body.size());
 }
 
+bool HasAttemptThatMayHaveRun(const JournalEntry& entry) {
+  return std::any_of(entry.attempts.begin(), entry.attempts.end(),
+                     [](const JournalAttempt& attempt) { return attempt.may_have_run; });
+}
+
 }  // namespace
 
 RequestTable::RequestTable(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
@@ -130,13 +135,15 @@
   return same ? EndedAs::kSame : EndedAs::kOther;
 }
 
+bool RequestTable::MayHaveRun(const AcceptedRequest& request) const {
+  const JournalEntry* entry = journal_.FindEntry(request.id);
+  return request.may_be_over || (entry != nullptr && HasAttemptThatMayHaveRun(*entry));
+}
+
 // Before its end is recorded: no process may take the id for a new one in between.
 void RequestTable::RememberIfMayHaveRun(const AcceptedRequest& request) {
   const JournalEntry* entry = journal_.FindEntry(request.id);
-  if (entry == nullptr) return;
-  const bool may_have_run = std::any_of(entry->attempts.begin(), entry->attempts.end(),
-                                        [](const JournalAttempt& attempt) { return attempt.may_have_run; });
-  if (!may_have_run) return;
+  if (entry == nullptr || !HasAttemptThatMayHaveRun(*entry)) return;
   const auto least = static_cast<std::int64_t>(config_.limits.min_remembered_time * kMicrosPerSecond);
   const std::int64_t until = std::max(entry->deadline, clock_.Micros() + least);
   const std::uint64_t content = HashRequestContent(request.key, request.body, request.destination);
@@ -168,13 +175,17 @@
   OnJournalWrite(journal_.RecordEndWithNotification(request.id, notification));
 }
 
+void RequestTable::ReleaseClientId(const AcceptedRequest& request) {
+  const auto by_id = by_client_id_.find(request.id);
+  if (by_id != by_client_id_.end() && &requests_.at(by_id->second) == &request) by_client_id_.erase(by_id);
+}
+
 void RequestTable::RemoveIfDone(RequestId request_id) {
   const auto it = requests_.find(request_id);
   if (it == requests_.end()) return;
   const AcceptedRequest& request = it->second;
   if (!request.ended || request.attempts_in_flight > 0) return;
-  const auto by_id = by_client_id_.find(request.id);
-  if (by_id != by_client_id_.end() && by_id->second == request_id) by_client_id_.erase(by_id);
+  ReleaseClientId(request);
   memory_.Release(net::MemoryOwner::kRequests, request.held_bytes);
   requests_.erase(it);
 }
--- a/src/relay/request_table.h
+++ b/src/relay/request_table.h
@@ -39,6 +39,9 @@
   bool may_be_over = false;
   std::size_t held_bytes = 0;  // in the memory budget, here and in the journal
 
+  // A copy of the request was answered 202 while it was open: a client relies on its end.
+  bool accepted_again = false;
+
   bool IsOpen() const { return !ended && !awaits_confirmation; }
 };
 
@@ -82,6 +85,11 @@
   void Supersede(AcceptedRequest& request);
   void EndWithNotification(AcceptedRequest& request, const std::string& notification);
 
+  // Whether an endpoint may have run the request, or has stated that it is over.
+  bool MayHaveRun(const AcceptedRequest& request) const;
+  // The client's id may be taken by a new request, even while this one has attempts in flight.
+  void ReleaseClientId(const AcceptedRequest& request);
+
   // Removes the request if it has ended and has no attempt in flight.
   void RemoveIfDone(RequestId request_id);
 
