--- a/tests/lab/client_gone_processes_test.cpp
+++ b/tests/lab/client_gone_processes_test.cpp
@@ -101,13 +101,16 @@
 
   // Attempts of the relay after which a class other than payment allows another one.
   int UnansweredAttempts() {
-    const std::string answer = Exchange(net::FormatRequest("GET", "/counters", {{"Host", "app.svc"}}, ""));
-    const auto counters = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n")));
+    const nlohmann::json counters = Counters();
     int attempts = 0;
     for (const char* key : {"timeouts", "resets", "cancelled", "doubted_outcomes"})
       attempts += counters.at(key).get<int>();
     return attempts;
   }
+  nlohmann::json Counters() {
+    const std::string answer = Exchange(net::FormatRequest("GET", "/counters", {{"Host", "app.svc"}}, ""));
+    return nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n")));
+  }
 
  private:
   std::string Exchange(const std::string& request) {
@@ -173,6 +176,10 @@
     };
     run_.relay().RunUntil(kDeadline + 1, [&] { return open() == 0; });
     CHECK(open() == 0);
+    const nlohmann::json counters = run_.Counters();
+    MESSAGE("202s that could not be written ", counters.at("lost_responses").get<int>(),
+            ", requests dropped for it ", counters.at("withdrawn").get<int>(), ", answered 202 ",
+            accepted_.size());
     CHECK(accepted_.size() > 100);
     CHECK(run_.endpoint().RepeatedCalls() <= allowed(run_));
   }
