Tests: the merge's test is back in the project's format, and a result nobody reads is gone

Cause: the test's text had passed through the formatter outside the repository, which moved every `&` and broke comments anew; the diff looked like changed assertions. The endpoint of lost_response no longer returns whether it had a call to answer.

--- a/tests/discovery/endpoint_merge_test.cpp
+++ b/tests/discovery/endpoint_merge_test.cpp
@@ -1,7 +1,6 @@
-// Tests the merge of the endpoint list with SRV: every row of merge_table.txt,
-// endpoint ids, ratings, and long random sequences that are checked against a
-// model of the guarantees in docs/srv.md. The model is independent of the
-// implementation.
+// Tests the merge of the endpoint list with SRV: every row of merge_table.txt, endpoint ids, ratings, and
+// long random sequences that are checked against a model of the guarantees in docs/srv.md. The model is
+// independent of the implementation.
 #include "discovery/endpoint_merge.h"
 
 #include <doctest/doctest.h>
@@ -25,7 +24,7 @@
 sockaddr_in AddressOf(char letter) {
   return *net::ParseAddress("127.0.0." + std::to_string(letter - 'a' + 1) + ":80");
 }
-char LetterOf(const EndpointRecord &record) {
+char LetterOf(const EndpointRecord& record) {
   return static_cast<char>('a' + (ntohl(record.address.sin_addr.s_addr) & 255) - 1);
 }
 
@@ -49,18 +48,17 @@
   return options;
 }
 
-// Runs the steps of a table row and applies the published updates, as a relay
-// does.
+// Runs the steps of a table row and applies the published updates, as a relay does.
 class Scenario {
  public:
   Scenario() : merge(Options()) { merge.AddOwnAddress(kDestination, AddressOf('x')); }
-  void Run(const std::string &steps) {
+  void Run(const std::string& steps) {
     std::istringstream all(steps);
     for (std::string step; std::getline(all, step, ';');) RunStep(step);
   }
-  void Apply(const EndpointListUpdate &update) {
+  void Apply(const EndpointListUpdate& update) {
     if (update.complete) published.clear();
-    for (const EndpointRecord &record : update.endpoints) {
+    for (const EndpointRecord& record : update.endpoints) {
       published[record.id] = record;
       if (record.status == Status::kRemoved) published.erase(record.id);
     }
@@ -71,7 +69,7 @@
     std::string text;
     const std::vector<MergedEndpoint> rows = merge.Endpoints();
     CHECK(rows.size() == published.size());
-    for (const MergedEndpoint &row : rows) {
+    for (const MergedEndpoint& row : rows) {
       REQUIRE(published.count(row.endpoint.id) == 1);
       CHECK(published.at(row.endpoint.id).status == row.endpoint.status);
       if (row.endpoint.destination != kDestination) continue;
@@ -87,7 +85,7 @@
   std::string target = "host";
 
  private:
-  void RunStep(const std::string &step) {
+  void RunStep(const std::string& step) {
     std::istringstream words(step);
     std::string verb, word;
     words >> verb;
@@ -149,9 +147,7 @@
   CHECK(rows >= 60);
 }
 
-TEST_CASE(
-    "merge: a machine keeps its id once the list names it; another at "
-    "its address gets a new one") {
+TEST_CASE("merge: a machine keeps its id once the list names it; another at its address gets a new one") {
   Scenario scenario;
   scenario.Run("list; srv x");
   REQUIRE(scenario.published.size() == 1);
@@ -173,25 +169,21 @@
   CHECK(other.published.begin()->first != before);
 }
 
-TEST_CASE(
-    "merge: SRV weights divide the listed ratings among endpoints with "
-    "limits of their own") {
+TEST_CASE("merge: SRV weights divide the listed ratings among endpoints with limits of their own") {
   Scenario scenario;
   scenario.Run("list a b c; srv a*6 b*3 c*0");
   CHECK(scenario.published.at("ea").weight == doctest::Approx(30 * 6 / 9.1));
   CHECK(scenario.published.at("eb").weight == doctest::Approx(30 * 3 / 9.1));
   CHECK(scenario.published.at("ec").weight == doctest::Approx(30 * 0.1 / 9.1));
   scenario.Run("srv a*0 b*0 c*0");
-  for (const char *id : {"ea", "eb", "ec"}) CHECK(scenario.published.at(id).weight == doctest::Approx(10));
+  for (const char* id : {"ea", "eb", "ec"}) CHECK(scenario.published.at(id).weight == doctest::Approx(10));
   scenario.Run("expired");
   CHECK(scenario.published.at("ea").weight == 10);
 }
 
 // Guards against a drain by the list that SRV outlives: the endpoint that SRV
 // had added stayed beside a listed one that had moved to its address.
-TEST_CASE(
-    "merge: a listed endpoint that moves to an added one's address takes "
-    "its place") {
+TEST_CASE("merge: a listed endpoint that moves to an added one's address takes its place") {
   Scenario scenario;
   scenario.Run("list a; srv a x");
   REQUIRE(scenario.published.size() == 2);
@@ -206,9 +198,7 @@
   CHECK(scenario.published.empty());
 }
 
-TEST_CASE(
-    "merge: an id that moves to another destination is removed from the "
-    "first") {
+TEST_CASE("merge: an id that moves to another destination is removed from the first") {
   Scenario scenario;
   scenario.Run("list a b");
   EndpointRecord moved = MakeRecord('a');
@@ -222,12 +212,9 @@
   CHECK(changes.endpoints[1].destination == 8);
 }
 
-// Guards against an endpoint that no destination has until the next complete
-// list: the removal from the former destination came after the update that
-// named it in the new one.
-TEST_CASE(
-    "merge: an id that moves to a destination with a lower number is "
-    "removed from the first before") {
+// Guards against an endpoint that no destination has until the next complete list: the removal from the
+// former destination came after the update that named it in the new one.
+TEST_CASE("merge: an id that moves to a destination with a lower number is removed from the first before") {
   Scenario scenario;
   scenario.Run("list a; other b");
   EndpointRecord moved = MakeRecord('b');
@@ -239,11 +226,9 @@
   CHECK(scenario.published.at("other-eb").destination == kDestination);
 }
 
-// ---- random sequences
-// ------------------------------------------------------------------------------------
+// ---- random sequences ------------------------------------------------------------------------------------
 
-// Records the input of both sources, to check the published updates against the
-// guarantees of docs/srv.md.
+// Records the input of both sources, to check the published updates against the guarantees of docs/srv.md.
 class ReferenceModel {
  public:
   std::map<char, Status> list;
@@ -254,46 +239,44 @@
   std::map<char, std::vector<Answer>> answers;  // complete answers, by endpoint
   bool not_offered = false;
 
-  // Whether an exclusion is confirmed: an answer repeats it after the
-  // confirmation delay, and no answer in between contradicts it.
+  // Whether an exclusion is confirmed: an answer repeats it after the confirmation delay, and no answer in
+  // between contradicts it.
   bool Confirmed(char letter, double now) const {
     const auto it = answers.find(letter);
     if (it == answers.end()) return false;
     double since = -1;
-    for (const Answer &answer : it->second) since = answer.includes ? -1 : since < 0 ? answer.at : since;
+    for (const Answer& answer : it->second) since = answer.includes ? -1 : since < 0 ? answer.at : since;
     return since >= 0 && now - since >= 2;
   }
 };
 
-void CheckGuarantees(const Scenario &scenario, const ReferenceModel &model,
-                     const std::map<char, bool> &before, const std::string &step,
-                     std::vector<double> &unconfirmed) {
+void CheckGuarantees(const Scenario& scenario, const ReferenceModel& model,
+                     const std::map<char, bool>& before, const std::string& step,
+                     std::vector<double>& unconfirmed) {
   CAPTURE(step);
   int listed_in_service = 0, in_service = 0, eligible = 0;
   std::map<char, bool> after;
-  for (const auto &[id, record] : scenario.published) {
+  for (const auto& [id, record] : scenario.published) {
     const char letter = LetterOf(record);
     // Only listed endpoints and the own address are published.
     CHECK((model.list.count(letter) > 0 || letter == 'x'));
     after[letter] = record.status == Status::kInService;
     in_service += record.status == Status::kInService;
   }
-  for (const auto &[letter, status] : model.list) {
+  for (const auto& [letter, status] : model.list) {
     listed_in_service += status == Status::kInService;
     // A drain by the list takes effect at once, whatever SRV says.
     REQUIRE(after.count(letter) == 1);
     if (status == Status::kDraining) CHECK(!after[letter]);
   }
-  // At least one endpoint stays in service, unless SRV says that the service is
-  // not offered.
+  // At least one endpoint stays in service, unless SRV says that the service is not offered.
   if (listed_in_service > 0 && !model.not_offered) CHECK(in_service > 0);
   eligible = listed_in_service + static_cast<int>(before.count('x'));
-  for (const auto &[letter, served] : before) {
+  for (const auto& [letter, served] : before) {
     if (!served || after.count(letter) == 0 || after[letter]) continue;
     const auto listed = model.list.find(letter);
     if (listed != model.list.end() && listed->second != Status::kInService) continue;
-    // SRV drains only by a complete answer, and without confirmation only up to
-    // the permitted share.
+    // SRV drains only by a complete answer, and without confirmation only up to the permitted share.
     CHECK((step.rfind("srv", 0) == 0 || step == "dot"));
     if (model.Confirmed(letter, scenario.now)) continue;
     unconfirmed.push_back(scenario.now);
@@ -306,13 +289,12 @@
 // Letters of the endpoints that the list may name.
 const std::string kListLetters = "abcdef";
 
-bool Names(const std::string &step, char letter) {
+bool Names(const std::string& step, char letter) {
   return step.find(std::string(" ") + letter) != std::string::npos;
 }
 
-// A random selection of all letters, each left out with probability 1 /
-// `one_in`, some with a worse priority.
-std::string RandomTargets(pcg32 &random, std::uint32_t one_in) {
+// A random selection of all letters, each left out with probability 1 / `one_in`, some with a worse priority.
+std::string RandomTargets(pcg32& random, std::uint32_t one_in) {
   std::string chosen;
   for (const char letter : kListLetters + "xyz") {
     if (random(one_in) != 0) chosen += std::string(" ") + letter + (random(4) == 0 ? "/2" : "");
@@ -320,9 +302,9 @@
   return chosen;
 }
 
-// A complete list of random letters. An id that the list adds or drops stands
-// for a different machine from then on, so its earlier answers no longer count.
-std::string RandomList(pcg32 &random, ReferenceModel &model) {
+// A complete list of random letters. An id that the list adds or drops stands for a different machine from
+// then on, so its earlier answers no longer count.
+std::string RandomList(pcg32& random, ReferenceModel& model) {
   std::string step = "list";
   const auto old = std::exchange(model.list, {});
   for (const char letter : kListLetters) {
@@ -335,9 +317,8 @@
   return step;
 }
 
-// A drain or removal of one endpoint. Empty for a drain of an endpoint that is
-// not listed.
-std::string RandomChange(pcg32 &random, ReferenceModel &model) {
+// A drain or removal of one endpoint. Empty for a drain of an endpoint that is not listed.
+std::string RandomChange(pcg32& random, ReferenceModel& model) {
   const char letter = kListLetters[random(6)];
   const bool drain = random(2) == 0;
   if (drain && model.list.count(letter) == 0) return "";
@@ -350,9 +331,8 @@
   return std::string(drain ? "drain " : "gone ") + letter;
 }
 
-// Returns the next step, or an empty string for none. Records list changes in
-// the model.
-std::string RandomStep(pcg32 &random, ReferenceModel &model, bool first) {
+// Returns the next step, or an empty string for none. Records list changes in the model.
+std::string RandomStep(pcg32& random, ReferenceModel& model, bool first) {
   switch (first ? 0 : random(9)) {
     case 0:
       return RandomList(random, model);
@@ -370,15 +350,15 @@
   }
 }
 
-// Records for each endpoint whether a complete answer includes it: names it
-// with the best priority of those in service.
-void RecordAnswer(ReferenceModel &model, const std::string &step, double now) {
+// Records for each endpoint whether a complete answer includes it: names it with the best priority of those
+// in service.
+void RecordAnswer(ReferenceModel& model, const std::string& step, double now) {
   const auto priority = [&](char letter) {
     const std::size_t at = step.find(std::string(" ") + letter);
     return at == std::string::npos ? 9 : step[std::min(at + 2, step.size() - 1)] == '/' ? 2 : 1;
   };
   int best = priority('x');
-  for (const auto &[letter, status] : model.list) {
+  for (const auto& [letter, status] : model.list) {
     if (status == Status::kInService) best = std::min(best, priority(letter));
   }
   for (const char letter : kListLetters + "x") {
@@ -387,13 +367,13 @@
 }
 
 // Records the SRV input of a step.
-void RecordSrvStep(ReferenceModel &model, const std::string &step, double now,
-                   std::vector<double> &unconfirmed) {
+void RecordSrvStep(ReferenceModel& model, const std::string& step, double now,
+                   std::vector<double>& unconfirmed) {
   const bool complete = step.rfind("srv", 0) == 0;
   const bool not_offered = step == "dot";
   const bool answer = complete || not_offered || step.rfind("part", 0) == 0;
   const bool names_listed =
-      answer && std::any_of(model.list.begin(), model.list.end(), [&](const auto &entry) {
+      answer && std::any_of(model.list.begin(), model.list.end(), [&](const auto& entry) {
         return entry.second == Status::kInService && Names(step, entry.first);
       });
   const bool names_one = names_listed || Names(step, 'x');
@@ -406,9 +386,9 @@
   if (not_offered || (complete && names_one)) RecordAnswer(model, step, now);
 }
 
-std::map<char, bool> InServiceByLetter(const Scenario &scenario) {
+std::map<char, bool> InServiceByLetter(const Scenario& scenario) {
   std::map<char, bool> in_service;
-  for (const auto &[id, record] : scenario.published) {
+  for (const auto& [id, record] : scenario.published) {
     in_service[LetterOf(record)] = record.status == Status::kInService;
   }
   return in_service;
@@ -433,17 +413,13 @@
   }
 }
 
-TEST_CASE(
-    "merge: every step of 1,000 random sequences with faults keeps the "
-    "guarantees") {
+TEST_CASE("merge: every step of 1,000 random sequences with faults keeps the guarantees") {
   for (std::uint64_t seed = 1; seed <= 1000; ++seed) RunRandomSequence(seed);
 }
 
-// ---- addresses that the list gives from one destination to another
-// ---------------------------------------
+// ---- addresses that the list gives from one destination to another ---------------------------------------
 
-// The list as its updates tell it, one change at a time: the entry that was
-// given an address last has it.
+// The list as its updates tell it, one change at a time: the entry that was given an address last has it.
 class AddressModel {
  public:
   struct Entry {
@@ -453,7 +429,7 @@
     Status status = Status::kInService;
   };
 
-  void Name(const std::string &id, const Entry &entry) {
+  void Name(const std::string& id, const Entry& entry) {
     const auto known = entries.find(id);
     const bool same_place = known != entries.end() && known->second.letter == entry.letter &&
                             known->second.destination == entry.destination;
@@ -470,9 +446,9 @@
     }
   }
   // The entry that has the address; null if the list does not name it.
-  const Entry *Owner(char letter) const {
-    const Entry *owner = nullptr;
-    for (const auto &[id, entry] : entries) {
+  const Entry* Owner(char letter) const {
+    const Entry* owner = nullptr;
+    for (const auto& [id, entry] : entries) {
       const bool newer = owner == nullptr || entry.given_in > owner->given_in;
       if (entry.letter == letter && newer) owner = &entry;
     }
@@ -493,12 +469,12 @@
   std::map<char, double> withdrawn_at_;
 };
 
-void CheckAddresses(const Scenario &scenario, const AddressModel &model) {
+void CheckAddresses(const Scenario& scenario, const AddressModel& model) {
   std::map<long long, int> in_service, listed_in_service;
-  for (const auto &[id, record] : scenario.published) {
+  for (const auto& [id, record] : scenario.published) {
     const char letter = LetterOf(record);
     CAPTURE(letter);
-    const AddressModel::Entry *owner = model.Owner(letter);
+    const AddressModel::Entry* owner = model.Owner(letter);
     if (owner != nullptr) {
       CHECK(record.destination == owner->destination);
       if (owner->status == Status::kDraining) CHECK(record.status == Status::kDraining);
@@ -508,17 +484,16 @@
     in_service[record.destination] += record.status == Status::kInService;
   }
   for (const char letter : AddressModel::kLetters) {
-    const AddressModel::Entry *owner = model.Owner(letter);
+    const AddressModel::Entry* owner = model.Owner(letter);
     if (owner != nullptr) listed_in_service[owner->destination] += owner->status == Status::kInService;
   }
-  for (const auto &[destination, listed] : listed_in_service) {
+  for (const auto& [destination, listed] : listed_in_service) {
     if (listed > 0) CHECK(in_service[destination] > 0);
   }
 }
 
-// One change of the list: an endpoint comes, moves, drains or goes, or the
-// complete list is repeated.
-EndpointListUpdate RandomListUpdate(pcg32 &random, AddressModel &model, int step) {
+// One change of the list: an endpoint comes, moves, drains or goes, or the complete list is repeated.
+EndpointListUpdate RandomListUpdate(pcg32& random, AddressModel& model, int step) {
   EndpointListUpdate update;
   const std::string id = "m" + std::to_string(random(6));
   AddressModel::Entry entry{random(2) == 0 ? kDestination : kOtherDestination,
@@ -534,25 +509,23 @@
   } else {
     model.Name(id, entry);
   }
-  const auto add = [&](const std::string &name, const AddressModel::Entry &named) {
+  const auto add = [&](const std::string& name, const AddressModel::Entry& named) {
     update.endpoints.push_back(MakeRecord(named.letter, named.status));
     update.endpoints.back().id = name;
     update.endpoints.back().destination = named.destination;
   };
   update.complete = kind == 2;
   if (!update.complete) add(id, entry);
-  for (const auto &[name, named] : model.entries) {
+  for (const auto& [name, named] : model.entries) {
     if (update.complete) add(name, named);
   }
   return update;
 }
 
-// Guards against messages that are sent to an endpoint of another destination:
-// SRV named an address for a destination after the list had given it to another
-// one.
+// Guards against messages that are sent to an endpoint of another destination: SRV named an address for a
+// destination after the list had given it to another one.
 TEST_CASE(
-    "merge: in 2,000 random sequences an address is published for the "
-    "destination that the list gave it "
+    "merge: in 2,000 random sequences an address is published for the destination that the list gave it "
     "last") {
   for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
     CAPTURE(seed);
--- a/tests/relay/lost_response_test.cpp
+++ b/tests/relay/lost_response_test.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config/config.h"
@@ -92,8 +93,8 @@
     for (int fd = Accept(); fd >= 0; fd = Accept()) connections_.push_back({fd, {}, {}});
     for (Connection& connection : connections_) Read(connection);
   }
-  // Answers the oldest open call, or resets its connection. Returns whether there was one.
-  bool Answer(CallState state) {
+  // Answers the oldest open call, if there is one, or resets its connection.
+  void Answer(CallState state) {
     for (Connection& connection : connections_) {
       if (connection.fd < 0 || connection.calls.empty() || connection.calls.back() != CallState::kOpen)
         continue;
@@ -103,9 +104,8 @@
       if (state == CallState::kRejected)
         raw::WriteAll(connection.fd, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
       if (state == CallState::kReset) Close(connection);
-      return true;
+      return;
     }
-    return false;
   }
   int Count(CallState state) const {
     long count = 0;
