An endpoint that only SRV names has no kind, and its waits hold once the list names one

An endpoint may have got calls with more messages than it takes. When the list named another kind, the relay took it for a different endpoint, and called it inside a wait that it had asked for.

Cause: as for the zone, a guess that no later module could tell from the list's word. Evidence: "srv kind" in srv_zone_test.cpp fails on (2 calls inside a wait of 5 s, 1 expected).

Change: kinds are KindId, optional from the source to the decision module. An unknown kind has what holds for every kind: the destination's limits, one message a call. An endpoint whose kind becomes known keeps its id; where it gets limits of its own, its route begins with the state recorded in the destination's.

Why it works: nothing fills in a kind, and the wait is in the route that the endpoint had when it was told.

--- a/include/opalroute/events.h
+++ b/include/opalroute/events.h
@@ -27,7 +27,9 @@
 struct ListedEndpoint {
   EndpointId endpoint{};
   std::optional<ZoneId> zone;  // empty: unknown, as only DNS has named the endpoint
-  int kind{};                  // index into Settings::kinds
+  // Empty: unknown, as only DNS has named the endpoint. It then shares the destination's limits, and a call
+  // to it has one request.
+  std::optional<KindId> kind;
   DestinationId destination{};
   EndpointStatus status{};
   double listed_rate{};  // rate limit in calls per second, for all relays together; 0: not listed
--- a/include/opalroute/settings.h
+++ b/include/opalroute/settings.h
@@ -2,6 +2,7 @@
 // during the lifetime of a RequestRouter.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -50,7 +51,7 @@
 
 struct EndpointKind {
   bool limits_per_endpoint{};  // each endpoint has a rate limit and outages of its own
-  int max_batch{};             // maximum number of requests in a call
+  int max_batch = 1;           // maximum number of requests in a call
 };
 
 struct Settings {
@@ -94,4 +95,10 @@
   std::uint64_t seed{};  // of the random numbers
 };
 
+// The kind with this index. For an unknown one, what holds for every kind: no limits of its own, and one
+// request in a call.
+inline EndpointKind KindOf(const Settings& settings, std::optional<KindId> kind) {
+  return kind ? settings.kinds[static_cast<std::size_t>(*kind)] : EndpointKind{};
+}
+
 }  // namespace opalroute
--- a/include/opalroute/types.h
+++ b/include/opalroute/types.h
@@ -16,6 +16,9 @@
 // zone is unknown is never assumed to be in the zone of another endpoint.
 enum class ZoneId : int {};
 
+// Index of an endpoint kind into Settings::kinds.
+enum class KindId : int {};
+
 // What a relay holds of the health of an upstream route.
 enum class RouteCondition {
   kServing,    // no fault since the latest served call
--- a/lab/experiments/snapshot_table.cpp
+++ b/lab/experiments/snapshot_table.cpp
@@ -52,7 +52,8 @@
     ListUpdate list;
     list.scope = ListScope::kComplete;
     for (int i = 1; i <= destinations; ++i)
-      list.entries.push_back({static_cast<EndpointId>(i), ZoneId{0}, 0, i, EndpointStatus::kInService, 5});
+      list.entries.push_back(
+          {static_cast<EndpointId>(i), ZoneId{0}, KindId{0}, i, EndpointStatus::kInService, 5});
     router_.Handle(now, list, actions);
     TransferredState state;
     for (int i = 1; i <= destinations; ++i) {
--- a/lab/simulation.cpp
+++ b/lab/simulation.cpp
@@ -200,7 +200,7 @@
 
 ListedEndpoint Simulation::ListEntry(EndpointId id, EndpointStatus status) const {
   const PartnerEndpoint& e = world_.endpoint(id);
-  return {id, ZoneId{e.zone}, e.kind, e.destination, status, e.listed_rate, id};
+  return {id, ZoneId{e.zone}, KindId{e.kind}, e.destination, status, e.listed_rate, id};
 }
 
 // ---- fleet ----------------------------------------------------------------------------------------
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -22,6 +22,11 @@
   return index < 0 ? std::nullopt : std::optional(ZoneId{index});
 }
 
+std::optional<KindId> KindNamed(const Config& config, const std::string& name) {
+  const int index = IndexOf(config.kinds, name);
+  return index < 0 ? std::nullopt : std::optional(KindId{index});
+}
+
 std::string NameOf(const Config& config, std::optional<ZoneId> zone) {
   return zone ? config.zones.at(static_cast<std::size_t>(*zone)) : "";
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -36,8 +36,9 @@
 // The index of `name`, or -1.
 int IndexOf(const std::vector<std::string>& names, const std::string& name);
 
-// The zone of this name, or nothing if the settings have none.
+// The zone, or the endpoint kind, of this name; nothing if the settings have none.
 std::optional<ZoneId> ZoneNamed(const Config& config, const std::string& name);
+std::optional<KindId> KindNamed(const Config& config, const std::string& name);
 // The name of the zone in the settings; empty for an unknown one.
 std::string NameOf(const Config& config, std::optional<ZoneId> zone);
 
--- a/src/decision/call_sender.cpp
+++ b/src/decision/call_sender.cpp
@@ -29,7 +29,7 @@
 // A recovery trial carries a single request, unlike in NetClone.
 std::vector<Request*> CallSender::TakeBatch(Destination& destination, Endpoint& endpoint) {
   const bool is_trial = endpoint.NeedsTrial();
-  const int max_batch = is_trial ? 1 : std::max(1, context_.settings.kinds[endpoint.kind].max_batch);
+  const int max_batch = is_trial ? 1 : std::max(1, KindOf(context_.settings, endpoint.kind).max_batch);
   const bool avoid_non_idempotent = is_trial && !endpoint.circuit.last_failure_never_ran();
   std::vector<Request*> batch;
   while (static_cast<int>(batch.size()) < max_batch) {
--- a/src/decision/endpoint_health.cpp
+++ b/src/decision/endpoint_health.cpp
@@ -32,7 +32,7 @@
 void EndpointHealth::DetectStall(Endpoint& endpoint) {
   if (!endpoint.circuit.IsClosed() || endpoint.in_flight_send_times.empty()) return;
   const Seconds oldest = *endpoint.in_flight_send_times.begin();
-  const int typical_batch = context_.settings.kinds[endpoint.kind].max_batch / 2;
+  const int typical_batch = KindOf(context_.settings, endpoint.kind).max_batch / 2;
   const Seconds timeout = latency_.CallTimeout(endpoint) * BatchLatencyFactor(typical_batch);
   if (endpoint.last_served < oldest && context_.now - oldest > timeout) OpenCircuit(endpoint, false);
 }
--- a/src/decision/endpoint_table.cpp
+++ b/src/decision/endpoint_table.cpp
@@ -30,12 +30,21 @@
     endpoints.insert(std::upper_bound(endpoints.begin(), endpoints.end(), &endpoint, by_id), &endpoint);
   }
   if (endpoint.status == EndpointStatus::kRemoved) MarkForCheck(entry.endpoint);
-  const bool has_own_route = context_.settings.kinds[endpoint.kind].limits_per_endpoint;
-  endpoint.route = has_own_route ? &endpoint.own_route : &destination.route;
+  AssignRoute(endpoint, destination);
   if (context_.settings.listed_rate_accuracy != ListedRateAccuracy::kNone)
     LearnLimit(endpoint, entry.listed_rate);
 }
 
+void EndpointTable::AssignRoute(Endpoint& endpoint, Destination& destination) {
+  const bool has_own_route = KindOf(context_.settings, endpoint.kind).limits_per_endpoint;
+  // Its kind has become known: what was seen of it so far was recorded in the destination's route.
+  if (has_own_route && endpoint.route == &destination.route) {
+    endpoint.own_route = destination.route;
+    endpoint.own_route.reported = {};
+  }
+  endpoint.route = has_own_route ? &endpoint.own_route : &destination.route;
+}
+
 void EndpointTable::LearnLimit(Endpoint& endpoint, double limit) {
   budget_.LearnLimit(endpoint.kind, limit);
   endpoint.route->rate_limiter.LearnLimit(limit, context_);
--- a/src/decision/endpoint_table.h
+++ b/src/decision/endpoint_table.h
@@ -43,6 +43,8 @@
 
  private:
   void AddOrUpdate(const ListedEndpoint& entry);
+  // Sets the endpoint's route according to its kind.
+  void AssignRoute(Endpoint& endpoint, Destination& destination);
 
   DecisionContext& context_;
   RecoveryBudget& budget_;
--- a/src/decision/recovery_budget.cpp
+++ b/src/decision/recovery_budget.cpp
@@ -22,13 +22,20 @@
 RecoveryBudget::RecoveryBudget(DecisionContext& context)
     : context_(context), min_limit_by_kind_(context.settings.kinds.size(), kNever) {}
 
-void RecoveryBudget::LearnLimit(int kind, double limit) {
-  if (limit <= 0) return;
-  min_limit_by_kind_[kind] = std::min(min_limit_by_kind_[kind], limit);
+void RecoveryBudget::LearnLimit(std::optional<KindId> kind, double limit) {
+  if (limit <= 0 || !kind) return;
+  double& min_limit = min_limit_by_kind_[static_cast<std::size_t>(*kind)];
+  min_limit = std::min(min_limit, limit);
 }
 
-double RecoveryBudget::EstimateCapacity(double limit, int kind) const {
-  const double capacity = limit > 0 ? limit : min_limit_by_kind_[kind];
+double RecoveryBudget::LowestKnownLimit(std::optional<KindId> kind) const {
+  if (kind) return min_limit_by_kind_[static_cast<std::size_t>(*kind)];
+  const auto lowest = std::min_element(min_limit_by_kind_.begin(), min_limit_by_kind_.end());
+  return lowest == min_limit_by_kind_.end() ? kNever : *lowest;
+}
+
+double RecoveryBudget::EstimateCapacity(double limit, std::optional<KindId> kind) const {
+  const double capacity = limit > 0 ? limit : LowestKnownLimit(kind);
   return capacity == kNever ? 1 / context_.settings.overload_window : capacity;
 }
 
--- a/src/decision/recovery_budget.h
+++ b/src/decision/recovery_budget.h
@@ -2,6 +2,7 @@
 // docs/design.md, 'Suspected outages and recovery', derives the formulas.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "decision/context.h"
@@ -13,11 +14,12 @@
  public:
   explicit RecoveryBudget(DecisionContext& context);
 
-  // Records the limit of a route of `kind`, in calls per second; 0 or less: unknown.
-  void LearnLimit(int kind, double limit);
+  // Records the limit of a route of `kind`, in calls per second; 0 or less: unknown. A limit of an unknown
+  // kind tells nothing about others.
+  void LearnLimit(std::optional<KindId> kind, double limit);
   // Calls per second that a route is assumed to take: its limit; if unknown (0), the lowest known limit of
-  // its kind; if there is none, one call in the overload window.
-  double EstimateCapacity(double limit, int kind) const;
+  // its kind, or of all kinds if that is unknown; if there is none, one call in the overload window.
+  double EstimateCapacity(double limit, std::optional<KindId> kind) const;
   // Calls per second that all relays together may send at `share` (0 to 1) of the capacity.
   double FleetRate(double capacity, double share) const;
   // Calls per second that this relay may send in a slow start that has lasted for `elapsed`.
@@ -45,6 +47,8 @@
   static double LargeFleetCalls(double allowed);
   double SmallFleetCalls(double allowed) const;
 
+  double LowestKnownLimit(std::optional<KindId> kind) const;
+
   DecisionContext& context_;
   std::vector<double> min_limit_by_kind_;
 };
--- a/src/decision/route_health.cpp
+++ b/src/decision/route_health.cpp
@@ -28,7 +28,7 @@
 
 // The recovery budget counts a relay as informed of an outage after one fault, which an exceeded limit can
 // cause as well: docs/design.md, 'Suspected outages and recovery'.
-bool RouteHealth::Update(double limit, int kind, bool has_trial, DecisionContext& context,
+bool RouteHealth::Update(double limit, std::optional<KindId> kind, bool has_trial, DecisionContext& context,
                          RecoveryBudget& budget) {
   const Settings& settings = context.settings;
   const bool may_be_out =
@@ -42,7 +42,7 @@
   return true;
 }
 
-int RouteHealth::FaultsToSuspect(double limit, int kind, const DecisionContext& context,
+int RouteHealth::FaultsToSuspect(double limit, std::optional<KindId> kind, const DecisionContext& context,
                                  const RecoveryBudget& budget) const {
   const Settings& settings = context.settings;
   if (last_served_ > context.now - settings.slow_start_duration) return kMaxFaultsToSuspect;
--- a/src/decision/route_health.h
+++ b/src/decision/route_health.h
@@ -22,9 +22,10 @@
   void CountLongRetryAfter();
   // Suspects an outage after enough faults without a success, and ends a slow start that has run its full
   // time. Returns whether the latest slow start is over. `limit` is the route's limit in calls per second (0:
-  // unknown), `kind` the kind of its endpoints. `has_trial`: recovery trials are sent already, as a circuit
-  // is open.
-  bool Update(double limit, int kind, bool has_trial, DecisionContext& context, RecoveryBudget& budget);
+  // unknown), `kind` the kind of its endpoints, if known. `has_trial`: recovery trials are sent already, as a
+  // circuit is open.
+  bool Update(double limit, std::optional<KindId> kind, bool has_trial, DecisionContext& context,
+              RecoveryBudget& budget);
   // A call was served that shows that the route is healthy.
   void OnServed(Seconds sent, Seconds now);
   // Schedules the first recovery trial after a short random delay.
@@ -64,7 +65,7 @@
   Seconds next_trial_at() const { return next_trial_at_; }
 
  private:
-  int FaultsToSuspect(double limit, int kind, const DecisionContext& context,
+  int FaultsToSuspect(double limit, std::optional<KindId> kind, const DecisionContext& context,
                       const RecoveryBudget& budget) const;
 
   bool in_recovery_ = false;
--- a/src/discovery/endpoint_source.h
+++ b/src/discovery/endpoint_source.h
@@ -17,7 +17,7 @@
 
   std::string id;
   std::optional<std::string> zone;  // empty: the source does not know it
-  std::string kind;
+  std::optional<std::string> kind;  // the same
   sockaddr_in address{};
   long long destination = 0;
   Status status = Status::kInService;
--- a/src/discovery/merged_destination.cpp
+++ b/src/discovery/merged_destination.cpp
@@ -118,7 +118,7 @@
   Endpoint& endpoint = endpoints_[id];
   endpoint.added = true;
   endpoint.added_at = now;
-  endpoint.record = {id, std::nullopt, options_.added_kind, address, id_, Status::kInService, 0};
+  endpoint.record = {id, std::nullopt, std::nullopt, address, id_, Status::kInService, 0};
 }
 
 // Adds endpoints for targets at own addresses that the list does not name. Returns the number of targets that
@@ -307,8 +307,8 @@
 // ---- published records -----------------------------------------------------------------------------------
 
 bool MergedDestination::IsRatedByWeight(const Endpoint& endpoint) const {
-  return endpoint.target && endpoint.InService() &&
-         options_.kinds_with_endpoint_limits.count(endpoint.record.kind) > 0;
+  return endpoint.target && endpoint.InService() && endpoint.record.kind &&
+         options_.kinds_with_endpoint_limits.count(*endpoint.record.kind) > 0;
 }
 
 // For kinds whose limits apply per endpoint, divides the sum of the listed ratings among the endpoints that
--- a/src/discovery/merged_destination.h
+++ b/src/discovery/merged_destination.h
@@ -26,7 +26,6 @@
   double return_delay = 10;       // a drained endpoint returns once answers have included it for this time
   double tombstone_time = 600;    // for which SRV must not add an address that the list has withdrawn
   std::set<std::string> kinds_with_endpoint_limits;  // SRV weights rate their endpoints
-  std::string added_kind;                            // of endpoints that only SRV names
 };
 
 struct MergedEndpoint {
--- a/src/discovery/merged_endpoint_source.cpp
+++ b/src/discovery/merged_endpoint_source.cpp
@@ -27,7 +27,6 @@
       options.kinds_with_endpoint_limits.insert(config.kinds[i]);
     }
   }
-  if (!config.kinds.empty()) options.added_kind = config.kinds.front();
   return options;
 }
 
--- a/src/relay/endpoint_suspension.cpp
+++ b/src/relay/endpoint_suspension.cpp
@@ -38,7 +38,7 @@
   TransferredState transferred;
   for (const ListedEndpoint& endpoint : update.entries) {
     if (endpoint.status != EndpointStatus::kInService) continue;
-    if (!config_.settings.kinds[endpoint.kind].limits_per_endpoint) continue;
+    if (!KindOf(config_.settings, endpoint.kind).limits_per_endpoint) continue;
     RouteState state;
     state.destination = endpoint.destination;
     state.endpoint = endpoint.endpoint;
--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -42,11 +42,12 @@
 }
 
 // Whether the entry gives a listed endpoint another destination, zone or kind. The entry is then treated as a
-// different endpoint with the same id. An endpoint whose zone becomes known stays the same.
+// different endpoint with the same id. An endpoint whose zone or kind becomes known stays the
+// same.
 bool IsReassigned(const EndpointTable::Endpoint& endpoint, const ListedEndpoint& entry) {
   const bool zone_changes = endpoint.zone && endpoint.zone != entry.zone;
-  return endpoint.listed &&
-         (endpoint.destination != entry.destination || zone_changes || endpoint.kind != entry.kind);
+  const bool kind_changes = endpoint.kind && endpoint.kind != entry.kind;
+  return endpoint.listed && (endpoint.destination != entry.destination || zone_changes || kind_changes);
 }
 
 }  // namespace
@@ -141,11 +142,11 @@
   entry.status = stale && IsDraining(record.id) ? EndpointStatus::kDraining : StatusOf(record.status);
   if (entry.status == EndpointStatus::kRemoved && ids_.count(record.id) == 0) return std::nullopt;
   if (record.zone) entry.zone = ZoneNamed(config_, *record.zone);
-  entry.kind = IndexOf(config_.kinds, record.kind);
-  if ((record.zone && !entry.zone) || entry.kind < 0) {
+  if (record.kind) entry.kind = KindNamed(config_, *record.kind);
+  if ((record.zone && !entry.zone) || (record.kind && !entry.kind)) {
     log::Warn("endpoint_ignored", {{"endpoint", record.id},
                                    {"zone", record.zone.value_or("")},
-                                   {"kind", record.kind},
+                                   {"kind", record.kind.value_or("")},
                                    {"why", "zone or kind is not in the settings"}});
     return std::nullopt;
   }
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -31,7 +31,7 @@
   struct Endpoint {
     std::string id;
     std::optional<ZoneId> zone;  // empty: unknown
-    int kind = 0;                // index into the settings' endpoint kinds
+    std::optional<KindId> kind;  // empty: unknown
     sockaddr_in address{};
     std::int64_t started_at_ms = 0;  // the start of its process, as the list tells it
     std::uint64_t claimed_in = 0;    // number of the update that gave it this address and process
--- a/src/relay/outcome_correction.cpp
+++ b/src/relay/outcome_correction.cpp
@@ -146,7 +146,7 @@
   const EndpointTable::Endpoint& endpoint = endpoints_.At(id);
   RouteState state;
   state.destination = endpoint.destination;
-  if (config_.settings.kinds[endpoint.kind].limits_per_endpoint) state.endpoint = id;
+  if (KindOf(config_.settings, endpoint.kind).limits_per_endpoint) state.endpoint = id;
   state.retry_after = retry_after + config_.settings.tick;
   decisions_.Post(TransferredState{{state}});
   callbacks_.on_retry_after(id, retry_after);
--- a/src/relay/retry_after_sharing.cpp
+++ b/src/relay/retry_after_sharing.cpp
@@ -32,7 +32,7 @@
 
 void RetryAfterSharing::Publish(EndpointId id, Seconds retry_after) {
   const EndpointTable::Endpoint& endpoint = endpoints_.At(id);
-  const bool has_own_limits = config_.settings.kinds[endpoint.kind].limits_per_endpoint;
+  const bool has_own_limits = KindOf(config_.settings, endpoint.kind).limits_per_endpoint;
   const double duration_us = (retry_after + config_.settings.tick) * kMicrosPerSecond;
   hot_restart::SharedRetryAfter shared;
   shared.destination = endpoint.destination;
--- a/src/relay/upstream_calls.cpp
+++ b/src/relay/upstream_calls.cpp
@@ -50,7 +50,7 @@
   attempt.body = request->body;
   request->journal_attempts.push_back(-1);
   ++request->attempts_in_flight;
-  const EndpointKind& kind = config_.settings.kinds[endpoints_.At(send.endpoint).kind];
+  const EndpointKind kind = KindOf(config_.settings, endpoints_.At(send.endpoint).kind);
   std::vector<Batch>& batches = queued_[send.endpoint];
   if (batches.empty() || batches.back().size() >= static_cast<std::size_t>(std::max(1, kind.max_batch)))
     batches.emplace_back();
--- a/src/simulator/instance.cpp
+++ b/src/simulator/instance.cpp
@@ -109,7 +109,7 @@
   ListedEndpoint endpoint;
   endpoint.endpoint = endpoints_.Intern(name);
   endpoint.zone = ZoneId{IndexOf(zones_, row, "dc")};
-  endpoint.kind = IndexOf(kinds_, row, "kind");
+  endpoint.kind = KindId{IndexOf(kinds_, row, "kind")};
   endpoint.destination = Get<std::int64_t>(row, "destination");
   endpoint.status = GetEnum(kStatuses, row, "mode");
   endpoint.listed_rate = GetOr(row, "rating", 0.0);
--- a/tests/decision/endpoint_list_test.cpp
+++ b/tests/decision/endpoint_list_test.cpp
@@ -57,5 +57,42 @@
   EXPECT_EQ(Emitted<Log>().size(), 2U);
 }
 
+// As DNS names it before the list does.
+ListedEndpoint OfUnknownKind(ListedEndpoint endpoint) {
+  endpoint.kind.reset();
+  return endpoint;
+}
+
+// The first kind of the settings takes five requests in a call; an endpoint of unknown kind may not.
+TEST_F(EndpointListTest, ACallToAnEndpointOfUnknownKindHasOneRequest) {
+  for (const bool is_known : {false, true}) {
+    Settings settings = TestSettings();
+    settings.kinds = {{false, 5}};
+    settings.concurrency_limit = 1;
+    Start(settings);
+    UpdateList({is_known ? MakeEndpoint(1, 1) : OfUnknownKind(MakeEndpoint(1, 1))});
+    for (RequestId id = 1; id <= 5; ++id) Receive(id, kIdempotentClass);
+    EndBatch();
+    EXPECT_EQ(Emitted<Send>().size(), is_known ? 5U : 1U);
+  }
+}
+
+// Guards against calls within a Retry-After: it may be that of the whole destination.
+TEST_F(EndpointListTest, ARetryAfterOfAnEndpointOfUnknownKindHoldsForTheDestinationAndOnceTheKindIsKnown) {
+  Settings settings = TestSettings();
+  settings.may_hedge = false;
+  Start(settings);
+  UpdateList({OfUnknownKind(MakeEndpoint(1, 1))});
+  Receive(1, kIdempotentClass);
+  EndBatch();
+  EndAttempt(1, 0, 1, Outcome::kRejected, 5);
+  UpdateList({OfUnknownKind(MakeEndpoint(1, 1)), MakeEndpoint(2, 1, 0, 0)});
+  EXPECT_FALSE(router_->MaySend(now_, 1));
+  EXPECT_FALSE(router_->MaySend(now_, 2));
+  UpdateList({MakeEndpoint(1, 1, 0, 1)});  // of a kind with limits of its own
+  EXPECT_FALSE(router_->MaySend(now_ + 4.9, 1));
+  EXPECT_TRUE(router_->MaySend(now_ + 5.1, 1));
+}
+
 }  // namespace
 }  // namespace opalroute::decision
--- a/tests/decision/fixture.h
+++ b/tests/decision/fixture.h
@@ -77,7 +77,7 @@
   static ListedEndpoint MakeEndpoint(EndpointId id, DestinationId destination, int zone = 0, int kind = 0,
                                      EndpointStatus status = EndpointStatus::kInService,
                                      double listed_rate = 0) {
-    return {id, ZoneId{zone}, kind, destination, status, listed_rate};
+    return {id, ZoneId{zone}, KindId{kind}, destination, status, listed_rate};
   }
   // As DNS names it before the list does.
   static ListedEndpoint MakeEndpointOfUnknownZone(EndpointId id, DestinationId destination) {
--- a/tests/decision/fleet_test.cpp
+++ b/tests/decision/fleet_test.cpp
@@ -179,7 +179,7 @@
 // If each of a hundred relays kept an idle connection, they would use up the endpoint's connections, and most
 // calls would find none even below the rate limit.
 TEST(FleetTest, IdleConnectionsOfALargeFleetDoNotExhaustAnEndpoint) {
-  Fleet fleet(FleetSettings(100), {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60}}, {12});
+  Fleet fleet(FleetSettings(100), {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60}}, {12});
   fleet.RunUntil(120, 40);
   EXPECT_LT(fleet.out_of_connections, fleet.calls / 20);
   EXPECT_GT(fleet.served, fleet.received * 9 / 10);
@@ -190,18 +190,18 @@
 TEST(FleetTest, RelaysNotifiedOfAConnectionShortageCloseIdleConnections) {
   Settings s = FleetSettings(100);
   s.may_gossip = true;
-  Fleet scarce(s, {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60}}, {12});
+  Fleet scarce(s, {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60}}, {12});
   scarce.RunUntil(120, 40);
   EXPECT_LT(scarce.out_of_connections, scarce.calls / 20);
   EXPECT_GT(scarce.served, scarce.received * 9 / 10);
-  Fleet ample(s, {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60}}, {200});
+  Fleet ample(s, {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60}}, {200});
   ample.RunUntil(120, 40);
   EXPECT_LT(ample.handshakes, 150);
 }
 
 // The idle connections of three relays do no harm, and each new connection costs a handshake.
 TEST(FleetTest, ASmallFleetKeepsIdleConnections) {
-  Fleet fleet(FleetSettings(3), {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60}}, {30});
+  Fleet fleet(FleetSettings(3), {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60}}, {30});
   fleet.RunUntil(120, 40);
   EXPECT_LT(fleet.handshakes, fleet.calls / 20);
 }
@@ -210,7 +210,7 @@
 TEST(FleetTest, CostPerRequestDoesNotGrowWithTheFleet) {
   std::vector<ListedEndpoint> list;
   for (EndpointId id = 1; id <= 8; ++id)
-    list.push_back({id, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60});
+    list.push_back({id, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60});
   for (const int relays : {3, 30, 100}) {
     Settings s = FleetSettings(relays);
     s.may_gossip = true;
@@ -235,7 +235,7 @@
 // the fleet has to send less. Without gossip, each relay learns that only from a rejection of its own.
 TEST(FleetTest, OneRejectionNotifiesAllRelaysOfALowerLimit) {
   Settings s = FleetSettings(100);
-  const std::vector<ListedEndpoint> list = {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60}};
+  const std::vector<ListedEndpoint> list = {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60}};
   Fleet without_gossip(s, list, {1000, 40});
   without_gossip.RunUntil(130, 60);
   s.may_gossip = true;
@@ -254,7 +254,7 @@
   s.may_gossip = true;
   s.overload_window = 2;
   s.slow_start_duration = 13;
-  Fleet fleet(s, {{1, ZoneId{0}, 1, 1, EndpointStatus::kInService, 60}}, {1000, 30});
+  Fleet fleet(s, {{1, ZoneId{0}, KindId{1}, 1, EndpointStatus::kInService, 60}}, {1000, 30});
   fleet.RunUntil(140, 60);
   EXPECT_GT(fleet.served, 40 * 30 / 4);
 }
@@ -266,7 +266,7 @@
   s.may_gossip = true;
   std::vector<ListedEndpoint> list;
   for (EndpointId id = 1; id <= 4; ++id)
-    list.push_back({id, ZoneId{0}, 1, 1, EndpointStatus::kInService, 60});
+    list.push_back({id, ZoneId{0}, KindId{1}, 1, EndpointStatus::kInService, 60});
   Fleet partitioned(s, list, {1000, 30, 0, 0, true});
   partitioned.RunUntil(130, 300);
   const double spans = 30 / (0.2 * s.overload_window);
@@ -281,7 +281,7 @@
   Settings s = FleetSettings(100);
   s.listed_rate_accuracy = ListedRateAccuracy::kExact;
   s.may_hedge = false;
-  const std::vector<ListedEndpoint> list = {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 300}};
+  const std::vector<ListedEndpoint> list = {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 300}};
   const auto calls_after = [&](bool notified) {
     s.may_gossip = notified;
     Fleet fleet(s, list, {1000, 1e6, 110, 116});
@@ -365,7 +365,8 @@
 // Discovery answers six polls per second. If all relays polled at the same times, most polls would be
 // rejected, and discovery would be idle in between.
 TEST(FleetTest, RelaysStartedTogetherPollTheListSpreadOut) {
-  RestartedFleet fleet(FleetSettings(100), 0.16, {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 60}});
+  RestartedFleet fleet(FleetSettings(100), 0.16,
+                       {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 60}});
   fleet.RunUntil(120, 0, {});
   EXPECT_GE(fleet.watching.size(), 95U);
 }
@@ -375,8 +376,8 @@
 // too late.
 TEST(FleetTest, AfterARestartALargeFleetLearnsOfADrainInTime) {
   Settings s = FleetSettings(300);
-  const ListedEndpoint stays{2, ZoneId{0}, 0, 1, EndpointStatus::kInService, 200};
-  ListedEndpoint drains{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, 200};
+  const ListedEndpoint stays{2, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 200};
+  ListedEndpoint drains{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, 200};
   RestartedFleet fleet(s, 0.01, {drains, stays});
   drains.status = EndpointStatus::kDraining;
   fleet.RunUntil(120, 150, {drains});
--- a/tests/decision/route_gossip_test.cpp
+++ b/tests/decision/route_gossip_test.cpp
@@ -40,8 +40,8 @@
   RequestRouter router(s);
   std::vector<Action> actions;
   const std::vector<ListedEndpoint> list = {
-      {1, ZoneId{0}, 1, 1, EndpointStatus::kInService, 400, HashName("one")},
-      {2, ZoneId{0}, 1, 1, EndpointStatus::kInService, 400, HashName("two")}};
+      {1, ZoneId{0}, KindId{1}, 1, EndpointStatus::kInService, 400, HashName("one")},
+      {2, ZoneId{0}, KindId{1}, 1, EndpointStatus::kInService, 400, HashName("two")}};
   router.Handle(100, ListUpdate{ListScope::kComplete, list}, actions);
   router.Handle(100, GossipReceived{3, EncodeRouteGossip({RouteGossip::Kind::kRejected, 1, HashName("two")})},
                 actions);
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -39,8 +39,9 @@
       Settings own = s;
       own.seed = static_cast<std::uint64_t>(i) + 1;
       relays_.emplace_back(own);
-      Handle(relays_.back(), ListUpdate{ListScope::kComplete,
-                                        {{1, ZoneId{0}, 0, 1, EndpointStatus::kInService, listed_rate}}});
+      Handle(relays_.back(),
+             ListUpdate{ListScope::kComplete,
+                        {{1, ZoneId{0}, KindId{0}, 1, EndpointStatus::kInService, listed_rate}}});
     }
   }
 
--- a/tests/discovery/endpoint_merge_test.cpp
+++ b/tests/discovery/endpoint_merge_test.cpp
@@ -43,7 +43,6 @@
 EndpointMergeOptions Options() {
   EndpointMergeOptions options;
   options.kinds_with_endpoint_limits = {"apart"};
-  options.added_kind = "apart";
   return options;
 }
 
--- a/tests/discovery/srv_zone_test.cpp
+++ b/tests/discovery/srv_zone_test.cpp
@@ -34,13 +34,17 @@
 const std::string kRequestId = "11";
 constexpr double kWindowSeconds = 8;  // the deduplication window
 
-// An endpoint that reads calls and closes their connections without a response.
+// An endpoint that reads calls and closes their connections without a response, or with a 429 and a wait.
 class ResettingEndpoint {
  public:
   ~ResettingEndpoint() { close(listener_); }
   sockaddr_in address() const { return net::BoundAddress(listener_); }
   // The number of calls with the request so far.
   int calls() const { return calls_; }
+  void RejectWithWait(int milliseconds) {
+    response_ = "HTTP/1.1 429 Too Many Requests\r\nX-RateLimit-Wait-Ms: " + std::to_string(milliseconds) +
+                "\r\nContent-Length: 0\r\n\r\n";
+  }
 
   void Poll() {
     const int fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
@@ -50,6 +54,7 @@
       raw::ReadAll(connection, text);
       if (text.find("X-Txn: " + kRequestId) == std::string::npos) return false;
       ++calls_;
+      raw::WriteAll(connection, response_);
       close(connection);
       return true;
     };
@@ -60,6 +65,7 @@
   const int listener_ = raw::Listen(*net::ParseAddress("127.0.0.1:0"));
   std::vector<int> connections_;
   int calls_ = 0;
+  std::string response_;
 };
 
 // A relay whose list may have endpoint `listed` in the first zone, z0. SRV names it and `named`, which the
@@ -84,12 +90,12 @@
   }
 
   // Replaces the list. The zone of `named` is z1; until the list has it, only SRV knows the endpoint.
-  void SetList(bool has_listed, bool has_named) {
+  void SetList(bool has_listed, bool has_named, const std::string& kind_of_named = "plain") {
     list_["generation"] = ++generation_;
     list_["reset"] = true;
     list_["instances"] = nlohmann::json::array();
-    if (has_listed) AddToList("listed", listed.address(), "z0");
-    if (has_named) AddToList("named", named.address(), "z1");
+    if (has_listed) AddToList("listed", listed.address(), "z0", "plain");
+    if (has_named) AddToList("named", named.address(), "z1", kind_of_named);
     platform_.SetEndpointList(list_);
   }
 
@@ -168,11 +174,12 @@
  private:
   static constexpr char kHost[] = "named.example";
 
-  void AddToList(const std::string& id, const sockaddr_in& address, const std::string& zone) {
+  void AddToList(const std::string& id, const sockaddr_in& address, const std::string& zone,
+                 const std::string& kind) {
     list_["instances"].push_back({{"instanceId", id},
                                   {"hostPort", net::FormatAddress(address)},
                                   {"zone", zone},
-                                  {"machineType", "plain"},
+                                  {"machineType", kind},
                                   {"cell", kSrvDestination},
                                   {"lifecycle", "ready"}});
   }
@@ -238,5 +245,23 @@
   CHECK(fixture.listed.calls() == 0);
 }
 
+// Guards against calls within a Retry-After: the relay assumed that an endpoint that only SRV named was of
+// the first kind. When the list named another one, with limits of its own, the wait of its 429 was forgotten.
+TEST_CASE("srv kind: the wait that an endpoint has asked for holds once the list names its kind") {
+  constexpr double kWaitSeconds = 5;
+  SrvZoneFixture fixture;
+  fixture.SetList(false, false);
+  fixture.StartRelay();
+  fixture.Run(1);
+  fixture.named.RejectWithWait(static_cast<int>(1000 * kWaitSeconds));
+  fixture.SendRequest();
+  fixture.RunUntilNamedIsCalled();
+  fixture.SetList(false, true, "apart");
+  fixture.Run(kWaitSeconds - 0.5);
+  CHECK(fixture.named.calls() == 1);
+  fixture.Run(5);
+  CHECK(fixture.named.calls() > 1);
+}
+
 }  // namespace
 }  // namespace opalroute
--- a/tests/example/main.cpp
+++ b/tests/example/main.cpp
@@ -28,9 +28,11 @@
 
   opalroute::RequestRouter router(settings);
   std::vector<opalroute::Action> actions;
-  router.Handle(
-      0, opalroute::ListUpdate{opalroute::ListScope::kComplete, {{1, 0, 0, 7, {}, 0}, {2, 0, 0, 7, {}, 0}}},
-      actions);
+  router.Handle(0,
+                opalroute::ListUpdate{opalroute::ListScope::kComplete,
+                                      {{1, opalroute::ZoneId{0}, opalroute::KindId{0}, 7, {}, 0},
+                                       {2, opalroute::ZoneId{0}, opalroute::KindId{0}, 7, {}, 0}}},
+                actions);
   router.Handle(0, opalroute::NewRequest{1, 0, {}, "", 10, 7}, actions);
   router.Handle(0, opalroute::BatchEnd{}, actions);
   for (const opalroute::Action& action : actions) {
