An upgrade's new process starts without addresses still in use, and takes them over

Cause: these listeners were opened at the start, and only the peers' datagram socket knew that an earlier process of the relay may still use an address.

Change: ListenerTakeover opens these listeners. Where two processes may run, one whose address is in use is tried again with each poll of the state folder, with log lines and edge.waiting_listeners; the earlier process closes its listeners at SIGTERM. A start without a second process still fails.

Why it works: an address in use never ends a start of an upgrade, and the address is free from SIGTERM on.

--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -29,6 +29,8 @@
   AdminServer(net::EventLoop& loop, const sockaddr_in& listen, const Limits& limits,
               net::MemoryBudget* memory, Pages pages, Commands commands = {});
   sockaddr_in address() const { return http_.address(); }
+  // Closes the listening socket; requests on open connections are still answered.
+  void StopAccepting() { http_.StopAccepting(); }
 
  private:
   net::HttpResponse OnRequest(net::HttpMessage& request) override;
--- a/src/relay/operations_metrics.cpp
+++ b/src/relay/operations_metrics.cpp
@@ -41,7 +41,8 @@
 
 std::string OperationsMetrics(const Config& config, const Counters& counters, const EndpointTable& endpoints,
                               const RequestTable& requests, const DecisionLoop& decisions,
-                              const net::MemoryBudget& memory, Seconds now) {
+                              const net::MemoryBudget& memory, const ListenerTakeover& listeners,
+                              Seconds now) {
   long known = 0;
   long skipped = 0;
   for (const EndpointId id : endpoints.Listed()) {
@@ -53,6 +54,7 @@
   text += Line("in_progress", requests.open());
   text += Line("known_endpoints", known);
   text += Line("skipped_endpoints", skipped);
+  text += Line("waiting_listeners", static_cast<long>(listeners.waiting()));
   text += LimitLines(counters, memory);
   return text;
 }
--- a/src/relay/operations_metrics.h
+++ b/src/relay/operations_metrics.h
@@ -8,6 +8,7 @@
 #include "metrics/counters.h"
 #include "relay/decision_loop.h"
 #include "relay/endpoint_table.h"
+#include "relay/listener_takeover.h"
 #include "relay/request_table.h"
 
 namespace opalroute {
@@ -15,6 +16,7 @@
 // `now` is the time of the event loop that drives `decisions`.
 std::string OperationsMetrics(const Config& config, const Counters& counters, const EndpointTable& endpoints,
                               const RequestTable& requests, const DecisionLoop& decisions,
-                              const net::MemoryBudget& memory, Seconds now);
+                              const net::MemoryBudget& memory, const ListenerTakeover& listeners,
+                              Seconds now);
 
 }  // namespace opalroute
--- a/src/relay/peer_network.cpp
+++ b/src/relay/peer_network.cpp
@@ -1,7 +1,5 @@
 #include "relay/peer_network.h"
 
-#include <cerrno>
-#include <system_error>
 #include <utility>
 
 #include "net/address.h"
@@ -16,20 +14,6 @@
 }
 
 void PeerNetwork::Listen() {
-  try {
-    Open();
-  } catch (const std::system_error& error) {
-    const bool two_processes = config_.inherited_fd >= 0;
-    if (!two_processes || error.code().value() != EADDRINUSE) throw;
-    address_in_use_ = true;
-  }
-}
-
-void PeerNetwork::RetryListen() {
-  if (std::exchange(address_in_use_, false)) Listen();
-}
-
-void PeerNetwork::Open() {
   socket_ = std::make_unique<net::DatagramSocket>(
       loop_, *config_.peer_listen, config_.limits.peer_datagram_bytes,
       [this](const sockaddr_in& from, std::string payload) {
--- a/src/relay/peer_network.h
+++ b/src/relay/peer_network.h
@@ -26,15 +26,12 @@
 
   PeerNetwork(net::EventLoop& loop, const Config& config, Handler& handler);
 
-  // Opens the socket at Config::peer_listen, which must be set. During a hot restart the earlier process may
-  // still use the address; RetryListen then opens the socket later. Throws std::system_error on any other
-  // failure.
+  // Opens the socket at Config::peer_listen, which must be set. Throws std::system_error if that fails.
   void Listen();
-  void RetryListen();
   void Close() { socket_.reset(); }
 
-  // Whether the socket is open, or will be opened once the earlier process has ended.
-  bool available() const { return socket_ != nullptr || address_in_use_; }
+  // Whether the socket is open.
+  bool available() const { return socket_ != nullptr; }
 
   void SendTo(int peer, const std::string& payload);
   // Sends to the fleet's broadcast address. Without such an address, sends to each peer in turn if
@@ -43,14 +40,12 @@
 
  private:
   std::optional<int> PeerAt(const sockaddr_in& address) const;
-  void Open();
 
   net::EventLoop& loop_;
   const Config& config_;
   Handler& handler_;
   std::unique_ptr<net::DatagramSocket> socket_;
   std::unordered_map<std::uint64_t, int> peer_by_address_;
-  bool address_in_use_ = false;
 };
 
 }  // namespace opalroute
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -54,6 +54,7 @@
                  notifier_, ending_},
                 JournalBudget(config, settings)),
       intake_({config, counters_, endpoints_, requests_, decisions_, calls_}, [this] { return IsReady(); }),
+      listeners_(config.inherited_fd >= 0),
       peers_(loop, config, *this),
       transfer_host_(loop, endpoints_, decisions_,
                      [this](int peer, const std::string& payload) { peers_.SendTo(peer, payload); }),
@@ -71,9 +72,13 @@
   }
   clock_persister_.emplace(loop, config, clock_);
   if (config.peer_listen) {
-    StartUnlessUnsupported("gossip between relays", [this] { peers_.Listen(); });
+    StartUnlessUnsupported("gossip between relays",
+                           [this] { listeners_.Open("peer_listen", [this] { peers_.Listen(); }); });
+  }
+  if (settings.admin_listen) {
+    StartUnlessUnsupported("operators' pages",
+                           [this] { listeners_.Open("admin.listen", [this] { StartAdminServer(); }); });
   }
-  if (settings.admin_listen) StartUnlessUnsupported("operators' pages", [this] { StartAdminServer(); });
   if (IsHotRestart()) {
     retry_after_sharing_ = std::make_unique<RetryAfterSharing>(
         config, clock_, endpoints_, decisions_, process_lock_.own_slot(), process_lock_.other_slot());
@@ -87,7 +92,10 @@
   recovery_.RecoverAll();
   has_list_ = !endpoints_.empty();
   if (IsHotRestart()) PollStateFolder();
-  if (config.ops) StartUnlessUnsupported("operations server", [this] { StartOperationsServer(); });
+  if (config.ops) {
+    StartUnlessUnsupported("operations server",
+                           [this] { listeners_.Open("ops", [this] { StartOperationsServer(); }); });
+  }
 }
 
 // ---- optional components -------------------------------------------------------------------------
@@ -112,12 +120,15 @@
 void Relay::StartStateTransfer() {
   state_transfer_ = std::make_unique<state_transfer::StateTransfer>(loop_, clock_, config_,
                                                                     settings_.state_transfer, transfer_host_);
+  if (settings_.state_transfer.listen) listeners_.Open("learn.listen", [this] { state_transfer_->Serve(); });
 }
 
 // Membership needs gossip with all other relays, and this relay's index in `peers`.
 void Relay::JoinFleet() {
   const char* missing = nullptr;
-  if (!peers_.available()) {
+  if (IsHotRestart()) {
+    missing = "not supported with hot restart: two processes of this relay may run at once";
+  } else if (!peers_.available()) {
     missing = "'peer_listen' is not set";
   } else if (!config_.may_gossip) {
     missing = "the settings do not allow gossip between relays";
@@ -125,8 +136,6 @@
     missing = "'peers' lists no other relay";
   } else if (config_.own_peer < 0) {
     missing = "'settings.me' is not one of 'peers'";
-  } else if (IsHotRestart()) {
-    missing = "not supported with hot restart: two processes of this relay may run at once";
   }
   if (missing != nullptr) {
     log::Warn("feature_off", {{"feature", "tier"}, {"why", missing}});
@@ -228,7 +237,8 @@
 // ---- operators -----------------------------------------------------------------------------------
 
 std::string Relay::Metrics() const {
-  return OperationsMetrics(config_, counters_, endpoints_, requests_, decisions_, memory_, loop_.Now());
+  return OperationsMetrics(config_, counters_, endpoints_, requests_, decisions_, memory_, listeners_,
+                           loop_.Now());
 }
 
 admin::CommandResult Relay::SetSuspended(const std::string& endpoint, bool suspended) {
@@ -327,7 +337,7 @@
   suspension_.Refresh();
   if (stopping_) return;
   recovery_.RecoverFromOtherProcess();
-  peers_.RetryListen();
+  listeners_.Retry();
 }
 
 void Relay::Stop(std::function<void()> on_stopped) {
@@ -336,9 +346,11 @@
   log::Info("stopping", {{"open_requests", requests_.open()}, {"calls_in_flight", calls_.in_flight()}});
   server_.http().CloseAfterResponses();
   if (IsHotRestart()) {
-    // New connections and peers' datagrams go to the next process.
+    // The next process takes over all addresses but that of the operations server, which is a process's own.
     server_.http().StopAccepting();
     peers_.Close();
+    if (admin_) admin_->StopAccepting();
+    if (state_transfer_) state_transfer_->StopServing();
   }
   // In a hot restart the next process takes over the waiting requests as soon as this one ends, so this one
   // sends nothing more.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -32,6 +32,7 @@
 #include "relay/decision_loop.h"
 #include "relay/endpoint_suspension.h"
 #include "relay/endpoint_table.h"
+#include "relay/listener_takeover.h"
 #include "relay/membership_host.h"
 #include "relay/peer_network.h"
 #include "relay/request_ending.h"
@@ -146,6 +147,7 @@
   RequestEnding ending_;
   RequestRecovery recovery_;
   RequestIntake intake_;
+  ListenerTakeover listeners_;
   PeerNetwork peers_;
   StateTransferHost transfer_host_;
   std::optional<ClockPersister> clock_persister_;
--- a/src/state_transfer/snapshot_server.cpp
+++ b/src/state_transfer/snapshot_server.cpp
@@ -119,7 +119,7 @@
       source_(std::move(source)),
       limits_(limits),
       started_at_(loop.Now()),
-      listener_(loop, listen, [this](int fd) { Accept(fd); }) {}
+      listener_(std::in_place, loop, listen, [this](int fd) { Accept(fd); }) {}
 
 SnapshotServer::~SnapshotServer() = default;
 
--- a/src/state_transfer/snapshot_server.h
+++ b/src/state_transfer/snapshot_server.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/limits.h"
@@ -20,7 +21,11 @@
   SnapshotServer(net::EventLoop& loop, const sockaddr_in& listen, std::string name, RouteStateSource source,
                  const Limits& limits);
   ~SnapshotServer();
-  sockaddr_in address() const { return listener_.address(); }
+  // False after StopAccepting.
+  bool accepts() const { return listener_.has_value(); }
+  sockaddr_in address() const { return listener_->address(); }  // only while accepts()
+  // Closes the listening socket; snapshots that are being sent go on.
+  void StopAccepting() { listener_.reset(); }
   // The longest time that a slice of a snapshot has blocked the event loop, over all snapshots sent.
   Seconds longest_pause() const { return longest_pause_; }
 
@@ -36,7 +41,7 @@
   const Seconds started_at_;
   Seconds longest_pause_ = 0;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
-  net::Listener listener_;
+  std::optional<net::Listener> listener_;
 };
 
 }  // namespace opalroute::state_transfer
--- a/src/state_transfer/state_transfer.cpp
+++ b/src/state_transfer/state_transfer.cpp
@@ -44,15 +44,20 @@
       }),
       save_timer_(loop) {
   if (settings.use_state_folder) StartFile();
-  if (settings.listen) {
-    server_ = std::make_unique<SnapshotServer>(loop, *settings.listen, config.name, source_, config.limits);
-  }
   if (settings.use_datagrams && config.peer_listen && config.may_gossip) StartDatagrams();
   if (!settings.donors.empty()) StartClient();
 }
 
 StateTransfer::~StateTransfer() = default;
 
+void StateTransfer::Serve() {
+  server_ = std::make_unique<SnapshotServer>(loop_, *settings_.listen, config_.name, source_, config_.limits);
+}
+
+void StateTransfer::StopServing() {
+  if (server_) server_->StopAccepting();
+}
+
 void StateTransfer::StartFile() {
   file_ = std::make_unique<SnapshotFile>(config_.state_folder, config_.limits.snapshot_file_bytes);
   LoadState();
@@ -81,7 +86,7 @@
 }
 
 std::optional<sockaddr_in> StateTransfer::snapshot_address() const {
-  if (!server_) return std::nullopt;
+  if (!server_ || !server_->accepts()) return std::nullopt;
   return server_->address();
 }
 
--- a/src/state_transfer/state_transfer.h
+++ b/src/state_transfer/state_transfer.h
@@ -43,13 +43,16 @@
 class StateTransfer : private SnapshotClient::Owner {
  public:
   // Applies the saved state and sends requests to other relays. All references must outlive this object.
-  // Throws std::system_error if it can't listen on the address from the settings.
   StateTransfer(net::EventLoop& loop, const PersistentClock& clock, const Config& config,
                 const OperatorSettings::StateTransfer& settings, Host& host);
   ~StateTransfer() override;
 
   // Whether all TCP transfers have ended or the timeout has passed, so that the relay may become ready.
   bool done() const { return client_ == nullptr; }
+  // Serves snapshots on the address from the settings, which must be set, until StopServing. Throws
+  // std::system_error if it can't listen.
+  void Serve();
+  void StopServing();
   // The address on which this relay serves snapshots, if it does.
   std::optional<sockaddr_in> snapshot_address() const;
   // Returns false if the datagram does not belong to state transfer.
