--- a/src/journal/journal_record.h
+++ b/src/journal/journal_record.h
@@ -6,8 +6,8 @@
 //
 //   type  name                   fields after the id
 //   'T'   accepted               request class, tenant, key, body (texts), destination, deadline (numbers)
-//   'A'   attempt                endpoint, zone (texts), time sent (number); if the zone is confirmed, the
-//   number 1 'N'   not executed           index of the attempt among the request's attempt records (number)
+//   'A'   attempt                endpoint, zone (texts), time sent (number), zone confirmed (1, or missing)
+//   'N'   not executed           index of the attempt among the request's attempt records (number)
 //   'E'   end                    none
 //   'W'   end with notification  notification (text)
 //
